--- /dev/null
+++ b/src/charter.rs
@@ -0,0 +1,67 @@
+//! What an instance reads once, at its start: the deployment's standing facts and limits.
+
+use crate::time::Span;
+
+/// How far a product's txn may be repeated.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Repeat {
+    /// Harmless to run again.
+    InquiryLike,
+    /// Carries a reference by which the servers of a group drop a repeat for a while.
+    Referenced { all_servers: bool, window: Span },
+    /// Must never run twice.
+    OnceOnly,
+}
+
+/// One row a product: only what the decisions read.
+#[derive(Clone, Copy, Debug)]
+pub struct Product {
+    pub sla: Span,
+    pub revenue: f64,
+    pub repeat: Repeat,
+    pub own_zone: bool,
+    pub writes: bool,
+}
+
+/// How the proxies read an ordered level.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Admission {
+    Share,
+    PerSecond,
+    Ignored,
+}
+
+#[derive(Clone, Debug)]
+pub struct Charter {
+    pub products: Vec<Product>,
+    /// The list of servers answers only when it is asked.
+    pub list_on_request: bool,
+    pub probes: bool,
+    /// Load reports come with probes only.
+    pub load_by_probe: bool,
+    pub admission: Admission,
+    /// A proxy turns from a server by itself after so many failures in a row; 0: never.
+    pub shuns_after: u32,
+    /// Slices of keys, each with a table of its own; 0: none, and proxies are put on tables.
+    pub slices: u32,
+    pub single_writer: bool,
+    /// How long a proxy that lost its supervisor may go on writing to a slice's old owner.
+    pub lease: Span,
+    pub settle: Span,
+    pub try_factor: f64,
+    pub report_every: Span,
+    pub channel_rate: f64,
+    pub message_head: f64,
+    pub most_waiting: f64,
+    /// Messages one proxy may get within `messages_over`; 0: no limit.
+    pub messages_most: u32,
+    pub messages_over: Span,
+    /// Mean and longest way of a message from the channel to a proxy.
+    pub way: Span,
+    pub way_most: Span,
+    pub drain_grace: Span,
+    pub cold_from: f64,
+    pub cold_for: Span,
+    /// A server merely dropped from the list need not be left.
+    pub only_drains_bind: bool,
+}
--- /dev/null
+++ b/src/host.rs
@@ -0,0 +1,65 @@
+//! The small interface through which the rules act, whatever protocol carries their orders.
+
+use crate::time::{Moment, Span};
+use std::fmt;
+use std::rc::Rc;
+
+/// A server's id, as the outside gives it.
+pub type Id = Rc<str>;
+
+/// A set of products, bit k for the product at position k.
+pub type Products = u64;
+
+/// What the list says of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// What the list knows of one server.
+#[derive(Clone, Debug)]
+pub struct Listing {
+    pub id: Id,
+    pub zone: u32,
+    pub weight: f64,
+    pub standing: Standing,
+    /// The latest start; nothing where it is long past.
+    pub started: Option<Moment>,
+}
+
+/// What a server's own load report says, where it came along.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    /// Txns that wait.
+    pub queue: Option<f64>,
+    /// Share of its cores that is busy.
+    pub busy: Option<f64>,
+}
+
+/// When a proxy tries another server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Retry {
+    Never,
+    IfNeverRan,
+    Once,
+    Twice,
+}
+
+/// Orders take effect in the order of the calls; those of one moment travel together.
+pub trait Host {
+    /// Sets one line of a table; weight 0 takes it out.
+    fn line(&mut self, tbl: u32, server: &Id, weight: f64);
+    /// Puts a joined proxy on a table for some products.
+    fn bind(&mut self, proxy: u32, tbl: u32, products: Products);
+    /// Bars all joined proxies from a server, whatever tables they hold, or lets them back.
+    fn withdraw(&mut self, server: &Id, out: bool);
+    /// What part of some products a table lets in, and when its proxies try again.
+    fn level(&mut self, tbl: u32, products: Products, admitted: f64, retry: Retry);
+    /// Subscribes to the list.
+    fn follow_list(&mut self);
+    fn probe(&mut self, server: &Id);
+    fn wake(&mut self, after: Span, label: u64);
+    fn note(&mut self, text: fmt::Arguments<'_>);
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,11 @@
+//! otterwinch: the decisions of a central planner behind a layer of plain proxies.
+//!
+//! [`rules`] decides; it acts through [`host::Host`] and reads a [`charter::Charter`] at start. Nothing in
+//! this crate does I/O.
+
+pub mod chance;
+pub mod charter;
+pub mod histogram;
+pub mod host;
+pub mod rules;
+pub mod time;
--- /dev/null
+++ b/src/time.rs
@@ -0,0 +1,71 @@
+//! Points in time and spans, kept apart so that one can't be taken for the other.
+
+use std::ops::{Add, Mul, Sub};
+
+/// A point on the host's clock, in microseconds from an origin that means nothing.
+///
+/// ```
+/// use otterwinch::time::{Moment, Span};
+/// let noon = Moment::from_us(5_000_000);
+/// assert_eq!((noon + Span::secs(2.0)) - noon, Span::from_us(2_000_000));
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Moment(i64);
+
+/// A length of time in microseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Span(i64);
+
+impl Moment {
+    pub const fn from_us(us: i64) -> Self {
+        Moment(us)
+    }
+}
+
+impl Span {
+    pub const ZERO: Span = Span(0);
+
+    pub const fn from_us(us: i64) -> Self {
+        Span(us)
+    }
+
+    pub fn secs(s: f64) -> Self {
+        Span((s * 1e6) as i64)
+    }
+
+    pub const fn as_us(self) -> i64 {
+        self.0
+    }
+
+    pub fn as_secs(self) -> f64 {
+        self.0 as f64 / 1e6
+    }
+}
+
+impl Sub for Moment {
+    type Output = Span;
+    fn sub(self, earlier: Moment) -> Span {
+        Span(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Span> for Moment {
+    type Output = Moment;
+    fn add(self, span: Span) -> Moment {
+        Moment(self.0.saturating_add(span.0))
+    }
+}
+
+impl Add for Span {
+    type Output = Span;
+    fn add(self, more: Span) -> Span {
+        Span(self.0.saturating_add(more.0))
+    }
+}
+
+impl Mul<f64> for Span {
+    type Output = Span;
+    fn mul(self, by: f64) -> Span {
+        Span((self.0 as f64 * by) as i64)
+    }
+}
--- /dev/null
+++ b/wirehost/src/main.rs
@@ -0,0 +1,187 @@
+//! Reads batches of wire lines, hands them to the instances they name, and writes one reply a batch.
+
+mod decode;
+mod desk;
+
+use decode::Fields;
+use desk::Desk;
+use otterwinch::host::Listing;
+use otterwinch::rules::Rules;
+use otterwinch::time::{Moment, Span};
+use std::collections::BTreeMap;
+use std::io::{self, BufRead, Write};
+use std::panic::{catch_unwind, AssertUnwindSafe};
+
+#[derive(Default)]
+struct Hosted {
+    instances: BTreeMap<u64, Rules<Desk>>,
+    pages: BTreeMap<u64, Vec<Listing>>,
+    now: Moment,
+    serial: u64,
+    failed: Vec<u8>,
+}
+
+fn main() -> io::Result<()> {
+    let mut hosted = Hosted::default();
+    let mut out = io::stdout().lock();
+    let mut line = Vec::new();
+    let mut input = io::BufReader::with_capacity(1 << 16, io::stdin().lock());
+    loop {
+        line.clear();
+        if input.read_until(b'\n', &mut line)? == 0 {
+            return Ok(());
+        }
+        if line.iter().all(u8::is_ascii_whitespace) {
+            continue;
+        }
+        match hosted.take(&line) {
+            Ok(false) => {}
+            Ok(true) => {
+                out.write_all(&hosted.reply())?;
+                out.flush()?;
+            }
+            Err(fault) => eprintln!("otterwinch-wirehost: line skipped: {fault}"),
+        }
+    }
+}
+
+impl Hosted {
+    /// Handles one line; true where it hands the turn over.
+    fn take(&mut self, line: &[u8]) -> Result<bool, String> {
+        let value: serde_json::Value =
+            serde_json::from_slice(line).map_err(|e| format!("not a JSON value: {e}"))?;
+        let f = Fields::of(&value)?;
+        match f.kind {
+            "TICK" => {
+                (self.now, self.serial) = (Moment::from_us(f.int("timeUs")?), f.whole("serial")?);
+            }
+            "OVER_TO_YOU" => return Ok(true),
+            "PAGE" => {
+                self.pages.insert(f.whole("page")?, decode::listings(&f)?);
+            }
+            "UP" => {
+                let (who, env) = (f.whole("who")?, f.object("env")?);
+                let (charter, desk) = (decode::charter(&env), Desk::new(who, &env));
+                let seed = f.whole("entropy")?;
+                let now = self.now;
+                self.guarded(who, |hosted| {
+                    hosted.instances.insert(who, Rules::open(desk, charter, seed, now));
+                });
+            }
+            "DESTROY" => {
+                self.instances.remove(&f.whole("who")?);
+            }
+            _ => self.event(&f)?,
+        }
+        Ok(false)
+    }
+
+    fn event(&mut self, f: &Fields) -> Result<(), String> {
+        let who = f.whole("who")?;
+        if !self.instances.contains_key(&who) {
+            return Err(format!("{}: no instance {who} is up", f.kind));
+        }
+        let now = self.now;
+        let call: Box<dyn FnOnce(&mut Rules<Desk>) + '_> = match f.kind {
+            "TOPOLOGY" => match f.whole("form")? {
+                3 => Box::new(move |rules| rules.list_failed(now)),
+                form @ 0..=2 => {
+                    let page = f.whole("page")?;
+                    let listings =
+                        self.pages.get(&page).ok_or(format!("TOPOLOGY: page {page} never came"))?.clone();
+                    Box::new(move |rules| {
+                        rules.host().learn(listings.iter().map(|l| &l.id));
+                        match form {
+                            0 => rules.list_changed(now, &listings),
+                            1 => rules.list_whole(now, &listings),
+                            _ => rules.list_remembered(now, &listings),
+                        }
+                    })
+                }
+                form => return Err(format!("TOPOLOGY: form {form} is unknown")),
+            },
+            "STREAM_UP" => {
+                let (px, zone, fresh) = (f.small("px")?, f.small("campus")?, f.mark("set"));
+                Box::new(move |rules| {
+                    rules.host().joined(px, true);
+                    rules.proxy_joined(now, px, zone, fresh);
+                })
+            }
+            "STREAM_DOWN" => {
+                let px = f.small("px")?;
+                Box::new(move |rules| {
+                    rules.host().joined(px, false);
+                    rules.proxy_left(now, px);
+                })
+            }
+            "HEARD" => {
+                let (id, zone) = (f.text("server")?, f.small("campus")?);
+                let (tries, bad) = (f.count("triesN")?, f.count("bad")?);
+                let took = Span::from_us(f.int_or("delaySeenUs", 0)?);
+                let load = decode::load(f);
+                Box::new(move |rules| rules.met(now, id, zone, tries, bad, took, &load))
+            }
+            "INGRESS" => {
+                let (product, px) = (f.small("class")?, f.small("px")?);
+                let (txns, unanswered) = (f.count("triesN")?, f.count("bad")?);
+                let over = Span::from_us(f.int_or("periodLenUs", 0)?);
+                Box::new(move |rules| rules.asked(now, px, product, txns, unanswered, over))
+            }
+            "STATUS_BACK" => {
+                let (id, code) = (f.text("server")?, f.text("code")?);
+                let load = decode::load(f);
+                Box::new(move |rules| rules.probed(now, id, code == "ok", &load))
+            }
+            "BELL" => {
+                let label = f.whole("label")?;
+                Box::new(move |rules| rules.woke(now, label))
+            }
+            "ASSIGNED_TO_ME" => {
+                let (slice, given) = (f.small("mapId")?, f.mark("set"));
+                Box::new(move |rules| {
+                    rules.host().charged(slice, given);
+                    if given {
+                        rules.slice_given(now, slice)
+                    } else {
+                        rules.slice_taken(now, slice)
+                    }
+                })
+            }
+            "STORED_LINE" => {
+                let (slice, id, weight) = (f.small("mapId")?, f.text("server")?, f.count("weight")?);
+                Box::new(move |rules| {
+                    let id = id.into();
+                    rules.host().learn([&id].into_iter());
+                    rules.slice_line(now, slice, &id, weight)
+                })
+            }
+            // Nothing is decided by these: demand by slice, applied marks and peers' words.
+            "KEY_LOAD" | "IN_FORCE" | "INBOX" => return Ok(()),
+            kind => return Err(format!("message {kind} is unknown")),
+        };
+        self.guarded(who, |hosted| {
+            if let Some(rules) = hosted.instances.get_mut(&who) {
+                call(rules);
+            }
+        });
+        Ok(())
+    }
+
+    /// A panic ends that instance alone, and says so on the wire.
+    fn guarded(&mut self, who: u64, call: impl FnOnce(&mut Self)) {
+        if let Err(cause) = catch_unwind(AssertUnwindSafe(|| call(self))) {
+            let text = cause.downcast_ref::<String>().map(String::as_str);
+            let text = text.or(cause.downcast_ref::<&str>().copied()).unwrap_or("the decisions failed");
+            self.instances.remove(&who);
+            let die = serde_json::json!({"kind": "DIE", "who": who, "msg": text});
+            self.failed.extend_from_slice(format!("{die}\n").as_bytes());
+        }
+    }
+
+    fn reply(&mut self) -> Vec<u8> {
+        let mut reply = std::mem::take(&mut self.failed);
+        self.instances.values_mut().for_each(|rules| reply.append(&mut rules.host().said));
+        reply.extend_from_slice(format!("{{\"kind\":\"FINISHED\",\"serial\":{}}}\n", self.serial).as_bytes());
+        reply
+    }
+}
