--- a/src/rules.rs
+++ b/src/rules.rs
@@ -319,11 +319,11 @@
     /// Rule 2: a further try after one that may have run only where the product allows the repeat.
     fn retry_for(&self, product: usize) -> Retry {
         match self.charter.products[product].repeat {
-            Repeat::InquiryLike => Retry::Once,
+            Repeat::InquiryLike => Retry::IfNeverRan,
             Repeat::Referenced { all_servers: true, window } => {
                 let longest = self.charter.products[product].sla * (self.charter.try_factor + 0.5);
                 if longest < window {
-                    Retry::Once
+                    Retry::IfNeverRan
                 } else {
                     Retry::IfNeverRan
                 }
