--- a/src/rules.rs
+++ b/src/rules.rs
@@ -49,7 +49,9 @@
 /// Levels: all servers hurting together is load, not health.
 const OVERLOADED: f64 = 0.25;
 const RELIEVED: f64 = 0.1;
-const LEVEL_FLOOR: f64 = 0.3;
+const LEVEL_FLOOR: f64 = 0.1;
+const SAFE_SHARE: f64 = 0.9;
+const RELIEF: f64 = 1.08;
 
 struct Server {
     zone: u32,
@@ -95,6 +97,11 @@
     served: BTreeSet<u32>,
     slices: BTreeMap<u32, Slice>,
     levels: Vec<f64>,
+    asked: Vec<f64>,
+    answered: f64,
+    seen: Span,
+    budget: Option<f64>,
+    shed_at: Moment,
     waiting: (f64, Moment),
     gathered: Moment,
     halved: Moment,
@@ -114,6 +121,11 @@
             served: BTreeSet::new(),
             slices: BTreeMap::new(),
             levels,
+            asked: vec![0.0; charter.products.len()],
+            answered: 0.0,
+            seen: Span::ZERO,
+            budget: None,
+            shed_at: now,
             waiting: (0.0, now),
             gathered: now,
             halved: now,
@@ -227,6 +239,7 @@
     pub fn met(&mut self, now: Moment, id: &str, _zone: u32, tries: f64, bad: f64, took: Span, _load: &Load) {
         let sla = self.charter.products.iter().map(|p| p.sla).min().unwrap_or(Span::secs(1.0));
         let Some(server) = self.servers.get_mut(id) else { return };
+        self.answered += (tries - bad).max(0.0);
         if bad < tries {
             server.heard = Some(now);
         }
@@ -246,15 +259,10 @@
         server.tally.add(band, (tries - bad).max(0.0));
     }
 
-    pub fn asked(
-        &mut self,
-        _now: Moment,
-        _proxy: u32,
-        _product: u32,
-        _txns: f64,
-        _unanswered: f64,
-        _over: Span,
-    ) {
+    pub fn asked(&mut self, product: u32, txns: f64) {
+        if let Some(asked) = self.asked.get_mut(product as usize) {
+            *asked += txns;
+        }
     }
 
     pub fn probed(&mut self, now: Moment, id: &str, answered: bool, _load: &Load) {
@@ -284,6 +292,7 @@
     pub fn woke(&mut self, now: Moment, label: u64) {
         match label {
             TURN => {
+                self.seen = self.seen + GATHER;
                 self.judge(now);
                 self.shed(now);
                 self.publish(now);
@@ -630,23 +639,42 @@
         if now - self.halved >= Span::secs(2.0) {
             self.halved = now;
             self.servers.values_mut().for_each(|s| s.tally.halve());
+            self.asked.iter_mut().for_each(|a| *a /= 2.0);
+            (self.answered, self.seen) = (self.answered / 2.0, self.seen * 0.5);
         }
     }
 
-    fn shed(&mut self, _now: Moment) {
-        if self.charter.admission != Admission::Share {
-            return;
-        }
-        let mut fleet = Histogram::<5>::default();
-        self.servers.values().for_each(|s| fleet.merge(&s.tally));
-        let Some(hurt) = fleet.mean_of(HURT) else { return };
-        let least = self.charter.products.iter().map(|p| p.revenue).fold(f64::INFINITY, f64::min);
-        for (k, product) in self.charter.products.iter().enumerate().filter(|(_, p)| p.revenue <= least) {
-            let _ = product;
-            if hurt > OVERLOADED {
-                self.levels[k] = (self.levels[k] - 0.15).max(LEVEL_FLOOR);
-            } else if hurt < RELIEVED {
-                self.levels[k] = (self.levels[k] + 0.05).min(1.0);
+    /// Overload: when most of the fleet hurts at once, no table helps, so no more is let in than the fleet
+    /// answers, the products of most revenue first; let go step by step once the middle server is well.
+    fn shed(&mut self, now: Moment) {
+        let mut hurts: Vec<f64> = self
+            .servers
+            .values()
+            .filter(|s| s.standing == Standing::Ready && s.tally.total() >= ENOUGH)
+            .map(|s| s.tally.mean_of(HURT).unwrap_or(0.0))
+            .collect();
+        hurts.sort_by(f64::total_cmp);
+        let Some(&middle) = hurts.get(hurts.len() / 2) else { return };
+        let (answered, asked) =
+            (self.answered / self.seen.as_secs(), self.asked.iter().sum::<f64>() / self.seen.as_secs());
+        if middle > OVERLOADED {
+            if now - self.shed_at >= REPORT_LAG + self.charter.report_every {
+                self.budget = Some(answered * SAFE_SHARE);
+                self.shed_at = now;
+            }
+        } else if let Some(budget) = self.budget.filter(|_| middle < RELIEVED) {
+            self.budget = Some(budget * RELIEF).filter(|b| *b < asked * 1.2);
+        }
+        let mut left = self.budget.unwrap_or(f64::INFINITY);
+        let mut order: Vec<usize> = (0..self.levels.len()).collect();
+        let revenue = |k: &usize| self.charter.products[*k].revenue;
+        order.sort_by(|a, b| revenue(b).total_cmp(&revenue(a)));
+        for k in order {
+            let asked = (self.asked[k] / self.seen.as_secs()).max(1e-9);
+            let level = (left / asked).clamp(LEVEL_FLOOR, 1.0);
+            left = (left - level * asked).max(0.0);
+            if (level - self.levels[k]).abs() > 0.05 || level >= 1.0 {
+                self.levels[k] = level;
             }
         }
         let numbers: Vec<u32> = self.tbls.keys().copied().collect();
--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -12,6 +12,8 @@
 use std::io::{self, BufRead, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 
+type Call<'a> = Box<dyn FnOnce(&mut Rules<Desk>) + 'a>;
+
 #[derive(Default)]
 struct Hosted {
     instances: BTreeMap<u64, Rules<Desk>>,
@@ -82,7 +84,7 @@
             return Err(format!("{}: no instance {who} is up", f.kind));
         }
         let now = self.now;
-        let call: Box<dyn FnOnce(&mut Rules<Desk>) + '_> = match f.kind {
+        let call: Call = match f.kind {
             "TOPOLOGY" => match f.whole("form")? {
                 3 => Box::new(move |rules| rules.list_failed(now)),
                 form @ 0..=2 => {
@@ -122,10 +124,8 @@
                 Box::new(move |rules| rules.met(now, id, zone, tries, bad, took, &load))
             }
             "INGRESS" => {
-                let (product, px) = (f.small("class")?, f.small("px")?);
-                let (txns, unanswered) = (f.count("triesN")?, f.count("bad")?);
-                let over = Span::from_us(f.int_or("periodLenUs", 0)?);
-                Box::new(move |rules| rules.asked(now, px, product, txns, unanswered, over))
+                let (product, txns) = (f.small("class")?, f.count("triesN")?);
+                Box::new(move |rules| rules.asked(product, txns))
             }
             "STATUS_BACK" => {
                 let (id, code) = (f.text("server")?, f.text("code")?);
