--- a/src/charter.rs
+++ b/src/charter.rs
@@ -36,6 +36,8 @@
     pub products: Vec<Product>,
     /// The list of servers answers only when it is asked.
     pub list_on_request: bool,
+    /// Txns that cross zones take something off the result.
+    pub crossing_costs: bool,
     pub probes: bool,
     /// Load reports come with probes only.
     pub load_by_probe: bool,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -28,6 +28,9 @@
 const RAMP_FROM: f64 = 0.1;
 const RAMP_STEP: f64 = 0.15;
 
+/// The most of a zone's traffic that is kept at home where crossing costs.
+const STAY: f64 = 0.85;
+
 /// Shares of the waiting-lines and messages budgets that ordinary changes may use; the rest is the reserve.
 const ORDINARY_LINES: f64 = 0.4;
 const ORDINARY_MESSAGES: f64 = 0.5;
@@ -68,6 +71,7 @@
 
 struct Tbl {
     zone: Option<u32>,
+    own_zone: bool,
     products: Products,
     lines: BTreeMap<Id, f64>,
     carried: Option<Moment>,
@@ -95,10 +99,12 @@
     tbls: BTreeMap<u32, Tbl>,
     proxies: BTreeMap<u32, Proxy>,
     served: BTreeSet<u32>,
+    usual: BTreeMap<u32, (u32, f64)>,
     slices: BTreeMap<u32, Slice>,
     levels: Vec<f64>,
     asked: Vec<f64>,
     answered: f64,
+    tries: f64,
     seen: Span,
     budget: Option<f64>,
     shed_at: Moment,
@@ -119,10 +125,12 @@
             tbls: BTreeMap::new(),
             proxies: BTreeMap::new(),
             served: BTreeSet::new(),
+            usual: BTreeMap::new(),
             slices: BTreeMap::new(),
             levels,
             asked: vec![0.0; charter.products.len()],
             answered: 0.0,
+            tries: 0.0,
             seen: Span::ZERO,
             budget: None,
             shed_at: now,
@@ -133,10 +141,6 @@
             heartbeat_set: false,
             charter,
         };
-        let shared = rules.products(|own_zone| !own_zone);
-        if shared != 0 && rules.charter.slices == 0 {
-            rules.lay(0, None, shared);
-        }
         rules.subscribe();
         rules.host.wake(GATHER, TURN);
         rules
@@ -188,11 +192,6 @@
             server.standing = l.standing;
             server.started = l.started.max(server.started);
         }
-        if self.charter.products.iter().any(|p| p.own_zone) && self.charter.slices == 0 {
-            let local = self.products(|own_zone| own_zone);
-            let zones: BTreeSet<u32> = self.servers.values().map(|s| s.zone).collect();
-            zones.into_iter().for_each(|zone| self.lay(1 + zone, Some(zone), local));
-        }
         self.publish(now);
     }
 
@@ -211,17 +210,15 @@
 
     // ---- proxies ----
 
-    pub fn proxy_joined(&mut self, now: Moment, proxy: u32, zone: u32, fresh: bool) {
+    pub fn proxy_joined(&mut self, now: Moment, proxy: u32, zone: u32, rate: f64, fresh: bool) {
         let fresh = fresh && !self.served.contains(&proxy);
         let joined = Proxy { zone, joined: now, fresh, bound: BTreeSet::new(), sent: VecDeque::new() };
         self.proxies.insert(proxy, joined);
-        if self.charter.products.iter().any(|p| p.own_zone) && self.charter.slices == 0 {
-            let local = self.products(|own_zone| own_zone);
-            self.lay(1 + zone, Some(zone), local);
-        }
+        self.usual.insert(proxy, (zone, rate));
+        self.tbls_of(zone).into_iter().for_each(|(number, home, own_zone)| self.lay(number, home, own_zone));
         self.publish(now);
         self.bind_waiting(now);
-        if !self.proxies[&proxy].bound.contains(&0) {
+        if self.proxies[&proxy].bound.is_empty() {
             // Rule 3 against tables we did not write: one that stays on its own needs the withdrawals too.
             let out: Vec<Id> = self.servers.iter().filter(|(_, s)| s.out).map(|(id, _)| id.clone()).collect();
             out.iter().for_each(|id| self.host.withdraw(id, true));
@@ -240,6 +237,7 @@
         let sla = self.charter.products.iter().map(|p| p.sla).min().unwrap_or(Span::secs(1.0));
         let Some(server) = self.servers.get_mut(id) else { return };
         self.answered += (tries - bad).max(0.0);
+        self.tries += tries;
         if bad < tries {
             server.heard = Some(now);
         }
@@ -316,15 +314,24 @@
         rows.filter(|(_, p)| which(p.own_zone)).fold(0, |set, (k, _)| set | 1 << k)
     }
 
-    fn lay(&mut self, number: u32, zone: Option<u32>, products: Products) {
-        if self.tbls.contains_key(&number) {
+    fn lay(&mut self, number: u32, zone: Option<u32>, own_zone: bool) {
+        let products = self.products(|own| own == own_zone);
+        if self.tbls.contains_key(&number) || products == 0 || self.charter.slices > 0 {
             return;
         }
-        let tbl = Tbl { zone, products, lines: BTreeMap::new(), carried: None, levels: Vec::new() };
+        let tbl = Tbl { zone, own_zone, products, lines: BTreeMap::new(), carried: None, levels: Vec::new() };
         self.tbls.insert(number, tbl);
         self.order_levels(number);
     }
 
+    /// The tables that a zone's proxies use: one for all zones unless crossing costs, and a further one
+    /// where a product must stay in its zone.
+    fn tbls_of(&self, zone: u32) -> [(u32, Option<u32>, bool); 2] {
+        let shared =
+            if self.charter.crossing_costs { (2 + 2 * zone, Some(zone), false) } else { (0, None, false) };
+        [shared, (3 + 2 * zone, Some(zone), true)]
+    }
+
     /// Rule 2: a further try after one that may have run only where the product allows the repeat.
     fn retry_for(&self, product: usize) -> Retry {
         match self.charter.products[product].repeat {
@@ -371,21 +378,51 @@
     }
 
     /// What a table should hold: its listed servers, eased in while cold, held back while troubled.
-    fn wanted(&self, now: Moment, zone: Option<u32>) -> BTreeMap<Id, f64> {
-        let open = || self.servers.iter().filter(move |(_, s)| zone.is_none_or(|z| z == s.zone));
-        let ready = || open().filter(|(_, s)| s.standing == Standing::Ready);
+    fn wanted(&self, now: Moment, zone: Option<u32>, own_zone: bool) -> BTreeMap<Id, f64> {
+        let open = || self.servers.iter().filter(move |(_, s)| !own_zone || zone == Some(s.zone));
         let of = |s: &Server| if s.weight > 0.0 { s.weight } else { 0.01 };
-        let parts: Vec<(Id, f64, f64)> =
-            ready().map(|(id, s)| (id.clone(), of(s) * RUNGS[s.rung], self.warmth(now, s))).collect();
-        // A table of few lines gives a small weight a large share: what cold servers get is cut by as much
-        // as the table is short of the fleet it usually spreads the load over.
+        let mut parts: Vec<(Id, f64, f64, u32)> = open()
+            .filter(|(_, s)| s.standing == Standing::Ready)
+            .map(|(id, s)| (id.clone(), of(s) * RUNGS[s.rung], self.warmth(now, s), s.zone))
+            .collect();
+        if let Some(home) = zone.filter(|_| !own_zone) {
+            let afar = self.afar(home, &parts);
+            parts.iter_mut().filter(|p| p.3 != home).for_each(|p| p.1 *= afar);
+        }
+        // A table of few lines gives a small weight a large share, and so does a fleet that turns most tries
+        // away and sees them again: what cold servers get is cut by as much as either adds.
         let usual: f64 =
-            open().filter(|(_, s)| s.standing != Standing::Gone || s.out).map(|(_, s)| of(s)).sum();
-        let held: f64 = parts.iter().map(|(_, w, warm)| w * warm).sum();
-        let short = (held / usual.max(1e-9)).clamp(0.05, 1.0);
-        let all_cold = parts.iter().all(|(_, _, warm)| *warm < 1.0);
+            self.servers.values().filter(|s| s.standing != Standing::Gone || s.out).map(of).sum();
+        let all: f64 = self
+            .servers
+            .values()
+            .filter(|s| s.standing == Standing::Ready)
+            .map(|s| of(s) * self.warmth(now, s))
+            .sum();
+        let short =
+            (all / usual.max(1e-9)).clamp(0.05, 1.0) * (self.answered / self.tries.max(1.0)).clamp(0.1, 1.0);
+        let all_cold = parts.iter().all(|p| p.2 < 1.0);
         let ease = |warm: f64| if warm < 1.0 && !all_cold { warm * short } else { warm };
-        parts.into_iter().map(|(id, w, warm)| (id, w * ease(warm))).collect()
+        parts.into_iter().map(|(id, w, warm, _)| (id, w * ease(warm))).collect()
+    }
+
+    /// Where crossing zones costs, servers of other zones get this part of their weight: no more than it
+    /// takes to carry what the zone's usual traffic has over its servers' part of the fleet.
+    fn afar(&self, home: u32, parts: &[(Id, f64, f64, u32)]) -> f64 {
+        let weight = |at_home: bool| -> f64 {
+            parts.iter().filter(|p| (p.3 == home) == at_home).map(|p| p.1 * p.2).sum()
+        };
+        let (here, there) = (weight(true), weight(false));
+        let known: BTreeSet<u32> = self.usual.values().map(|u| u.0).collect();
+        let known_weight: f64 = parts.iter().filter(|p| known.contains(&p.3)).map(|p| p.1 * p.2).sum();
+        let rate: f64 = self.usual.values().map(|u| u.1).sum();
+        let home_rate: f64 = self.usual.values().filter(|u| u.0 == home).map(|u| u.1).sum();
+        if here <= 0.0 || there <= 0.0 || home_rate <= 0.0 {
+            return 1.0;
+        }
+        let due = home_rate / rate * known_weight;
+        let stay = (here / due * STAY).clamp(0.0, STAY);
+        (here * (1.0 - stay) / (stay * there)).min(1.0)
     }
 
     /// One turn: drains and first usable lines at once, all else gathered and within the budgets.
@@ -397,7 +434,7 @@
         let gathered = now - self.gathered >= GATHER;
         for number in numbers {
             let tbl = &self.tbls[&number];
-            let wanted = self.wanted(now, tbl.zone);
+            let wanted = self.wanted(now, tbl.zone, tbl.own_zone);
             if self.carry(now, number, wanted.is_empty()) {
                 continue;
             }
@@ -516,10 +553,6 @@
 
     // ---- binds ----
 
-    fn tbls_of(&self, zone: u32) -> Vec<u32> {
-        self.tbls.iter().filter(|(_, t)| t.zone.is_none_or(|z| z == zone)).map(|(n, _)| *n).collect()
-    }
-
     fn usable(&self, number: u32) -> bool {
         let ready = |id: &Id| self.servers.get(id).is_some_and(|s| s.standing == Standing::Ready);
         self.tbls.get(&number).is_some_and(|t| t.lines.keys().any(ready))
@@ -534,8 +567,12 @@
         let waiting: Vec<u32> = self.proxies.keys().copied().collect();
         for proxy in waiting {
             let p = &self.proxies[&proxy];
-            let missing: Vec<u32> =
-                self.tbls_of(p.zone).into_iter().filter(|t| !p.bound.contains(t)).collect();
+            let missing: Vec<u32> = self
+                .tbls_of(p.zone)
+                .iter()
+                .map(|t| t.0)
+                .filter(|t| self.tbls.contains_key(t) && !p.bound.contains(t))
+                .collect();
             let usable: Vec<u32> = missing.iter().copied().filter(|t| self.usable(*t)).collect();
             let partial = usable.len() < missing.len();
             let may_go = !partial || p.fresh && now - p.joined >= JOIN_BUDGET;
@@ -640,7 +677,7 @@
             self.halved = now;
             self.servers.values_mut().for_each(|s| s.tally.halve());
             self.asked.iter_mut().for_each(|a| *a /= 2.0);
-            (self.answered, self.seen) = (self.answered / 2.0, self.seen * 0.5);
+            (self.answered, self.tries, self.seen) = (self.answered / 2.0, self.tries / 2.0, self.seen * 0.5);
         }
     }
 
@@ -685,7 +722,7 @@
 
     fn publish_slices(&mut self, now: Moment) {
         self.withdrawals(now);
-        let wanted = self.wanted(now, None);
+        let wanted = self.wanted(now, None, false);
         let mut held: BTreeMap<Id, f64> = wanted.keys().map(|id| (id.clone(), 0.0)).collect();
         for slice in self.slices.values() {
             slice.lines.keys().for_each(|id| *held.entry(id.clone()).or_default() += 1.0);
--- a/wirehost/src/decode.rs
+++ b/wirehost/src/decode.rs
@@ -149,6 +149,7 @@
     Charter {
         products: env.at("classes").rows().take(64).enumerate().map(product).collect(),
         list_on_request: env.at("discovery").word() == "ask",
+        crossing_costs: env.at("charges").at("crossZone").num() > 0.0,
         probes: env.at("bounds").at("probes").yes(),
         load_by_probe: env.at("reporting").at("how").word() == "probe",
         admission: match info.at("throttleBy").word() {
--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -104,9 +104,10 @@
             },
             "STREAM_UP" => {
                 let (px, zone, fresh) = (f.small("px")?, f.small("campus")?, f.mark("set"));
+                let rate = f.count("weight")?;
                 Box::new(move |rules| {
                     rules.host().joined(px, true);
-                    rules.proxy_joined(now, px, zone, fresh);
+                    rules.proxy_joined(now, px, zone, rate, fresh);
                 })
             }
             "STREAM_DOWN" => {
