--- a/src/rules.rs
+++ b/src/rules.rs
@@ -38,7 +38,7 @@
 const PACE_TRUSTED: f64 = 0.15;
 
 /// Parts of its listed weight that a troubled server is left with, and what each band of outcomes hurts.
-const RUNGS: [f64; 5] = [1.0, 0.5, 0.25, 0.1, 0.03];
+const RUNGS: [f64; 6] = [1.0, 0.75, 0.55, 0.35, 0.15, 0.04];
 const HURT: [f64; 5] = [0.0, 0.0, 0.3, 1.0, 1.0];
 const VOIDED: usize = 4;
 const ENOUGH: f64 = 6.0;
