--- a/src/rules.rs
+++ b/src/rules.rs
@@ -29,7 +29,7 @@
 const RAMP_STEP: f64 = 0.15;
 
 /// The most of a zone's traffic that is kept at home where crossing costs.
-const STAY: f64 = 0.85;
+const STAY: f64 = 0.9;
 
 /// Shares of the waiting-lines and messages budgets that ordinary changes may use; the rest is the reserve.
 const ORDINARY_LINES: f64 = 0.4;
@@ -422,7 +422,8 @@
         }
         let due = home_rate / rate * known_weight;
         let stay = (here / due * STAY).clamp(0.0, STAY);
-        (here * (1.0 - stay) / (stay * there)).min(1.0)
+        let part: f64 = here * (1.0 - stay) / (stay * there);
+        ((part.max(1e-3).log2() * 2.0).round() / 2.0).exp2().min(1.0)
     }
 
     /// One turn: drains and first usable lines at once, all else gathered and within the budgets.
