--- a/src/rules.rs
+++ b/src/rules.rs
@@ -30,6 +30,8 @@
 
 /// The most of a zone's traffic that is kept at home where crossing costs.
 const STAY: f64 = 0.9;
+/// How much more the warm servers of a table may get so that the cold ones get less.
+const WARM_BEARS: f64 = 1.25;
 
 /// Shares of the waiting-lines and messages budgets that ordinary changes may use; the rest is the reserve.
 const ORDINARY_LINES: f64 = 0.4;
@@ -107,6 +109,7 @@
     tries: f64,
     seen: Span,
     budget: Option<f64>,
+    peak: f64,
     shed_at: Moment,
     waiting: (f64, Moment),
     gathered: Moment,
@@ -133,6 +136,7 @@
             tries: 0.0,
             seen: Span::ZERO,
             budget: None,
+            peak: 0.0,
             shed_at: now,
             waiting: (0.0, now),
             gathered: now,
@@ -188,13 +192,18 @@
                 (server.rung, server.strikes, server.judged) = (0, 0, now);
             }
             server.zone = l.zone;
-            server.weight = if l.weight.is_finite() { l.weight.max(0.0) } else { 0.0 };
+            server.weight = if l.weight.is_finite() { l.weight.max(0.01) } else { 0.01 };
             server.standing = l.standing;
             server.started = l.started.max(server.started);
         }
+        self.peak = self.peak.max(self.ready_weight());
         self.publish(now);
     }
 
+    fn ready_weight(&self) -> f64 {
+        self.servers.values().filter(|s| s.standing == Standing::Ready).map(|s| s.weight).sum()
+    }
+
     /// A call to the list failed or the subscription dropped: what is known stays, and it is asked again.
     pub fn list_failed(&mut self, _now: Moment) {
         self.following = false;
@@ -380,29 +389,22 @@
     /// What a table should hold: its listed servers, eased in while cold, held back while troubled.
     fn wanted(&self, now: Moment, zone: Option<u32>, own_zone: bool) -> BTreeMap<Id, f64> {
         let open = || self.servers.iter().filter(move |(_, s)| !own_zone || zone == Some(s.zone));
-        let of = |s: &Server| if s.weight > 0.0 { s.weight } else { 0.01 };
         let mut parts: Vec<(Id, f64, f64, u32)> = open()
             .filter(|(_, s)| s.standing == Standing::Ready)
-            .map(|(id, s)| (id.clone(), of(s) * RUNGS[s.rung], self.warmth(now, s), s.zone))
+            .map(|(id, s)| (id.clone(), s.weight * RUNGS[s.rung], self.warmth(now, s), s.zone))
             .collect();
         if let Some(home) = zone.filter(|_| !own_zone) {
             let afar = self.afar(home, &parts);
             parts.iter_mut().filter(|p| p.3 != home).for_each(|p| p.1 *= afar);
         }
-        // A table of few lines gives a small weight a large share, and so does a fleet that turns most tries
-        // away and sees them again: what cold servers get is cut by as much as either adds.
-        let usual: f64 =
-            self.servers.values().filter(|s| s.standing != Standing::Gone || s.out).map(of).sum();
-        let all: f64 = self
-            .servers
-            .values()
-            .filter(|s| s.standing == Standing::Ready)
-            .map(|s| of(s) * self.warmth(now, s))
-            .sum();
-        let short =
-            (all / usual.max(1e-9)).clamp(0.05, 1.0) * (self.answered / self.tries.max(1.0)).clamp(0.1, 1.0);
-        let all_cold = parts.iter().all(|p| p.2 < 1.0);
-        let ease = |warm: f64| if warm < 1.0 && !all_cold { warm * short } else { warm };
+        // A fleet that has shrunk, or turns most tries away and sees them again, brings a cold server more
+        // than its weight says: cold lines are cut by as much, but never so far that the warm ones pay for it.
+        let (mut cold, mut warm) = (0.0, 0.0);
+        parts.iter().for_each(|p| *(if p.2 < 1.0 { &mut cold } else { &mut warm }) += p.1 * p.2);
+        let crowded = (self.ready_weight() / self.peak.max(1e-9)) * (self.answered / self.tries.max(1.0));
+        let least = if cold > 0.0 { ((cold + warm) / WARM_BEARS - warm) / cold } else { 1.0 };
+        let cut = crowded.max(least).clamp(0.05, 1.0);
+        let ease = |part: f64| if part < 1.0 { part * cut } else { part };
         parts.into_iter().map(|(id, w, warm, _)| (id, w * ease(warm))).collect()
     }
 
