--- a/src/rules.rs
+++ b/src/rules.rs
@@ -32,6 +32,7 @@
 const STAY: f64 = 0.9;
 /// How much more the warm servers of a table may get so that the cold ones get less.
 const WARM_BEARS: f64 = 1.25;
+const STAMPEDE: f64 = 0.5;
 
 /// Shares of the waiting-lines and messages budgets that ordinary changes may use; the rest is the reserve.
 const ORDINARY_LINES: f64 = 0.4;
@@ -405,7 +406,11 @@
         let least = if cold > 0.0 { ((cold + warm) / WARM_BEARS - warm) / cold } else { 1.0 };
         let cut = crowded.max(least).clamp(0.05, 1.0);
         let ease = |part: f64| if part < 1.0 { part * cut } else { part };
-        parts.into_iter().map(|(id, w, warm, _)| (id, w * ease(warm))).collect()
+        // Proxies that shun by themselves leave a struggling fleet for whatever they have not tried yet: then
+        // no weight is small enough, and cold servers stay out until the fleet answers or they are warm.
+        let stampede = self.charter.shuns_after > 0 && self.answered < STAMPEDE * self.tries && warm > 0.0;
+        let kept = parts.into_iter().filter(|p| p.2 >= 1.0 || !stampede);
+        kept.map(|(id, w, warm, _)| (id, w * ease(warm))).collect()
     }
 
     /// Where crossing zones costs, servers of other zones get this part of their weight: no more than it
