--- a/src/rules.rs
+++ b/src/rules.rs
@@ -33,6 +33,7 @@
 /// How much more the warm servers of a table may get so that the cold ones get less.
 const WARM_BEARS: f64 = 1.25;
 const STAMPEDE: f64 = 0.5;
+const UNEASY: f64 = 0.2;
 
 /// Shares of the waiting-lines and messages budgets that ordinary changes may use; the rest is the reserve.
 const ORDINARY_LINES: f64 = 0.4;
@@ -110,6 +111,7 @@
     tries: f64,
     seen: Span,
     budget: Option<f64>,
+    middle: f64,
     peak: f64,
     shed_at: Moment,
     waiting: (f64, Moment),
@@ -137,6 +139,7 @@
             tries: 0.0,
             seen: Span::ZERO,
             budget: None,
+            middle: 0.0,
             peak: 0.0,
             shed_at: now,
             waiting: (0.0, now),
@@ -408,7 +411,8 @@
         let ease = |part: f64| if part < 1.0 { part * cut } else { part };
         // Proxies that shun by themselves leave a struggling fleet for whatever they have not tried yet: then
         // no weight is small enough, and cold servers stay out until the fleet answers or they are warm.
-        let stampede = self.charter.shuns_after > 0 && self.answered < STAMPEDE * self.tries && warm > 0.0;
+        let struggling = self.answered < STAMPEDE * self.tries || self.middle > UNEASY;
+        let stampede = self.charter.shuns_after > 0 && struggling && warm > 0.0;
         let kept = parts.into_iter().filter(|p| p.2 >= 1.0 || !stampede);
         kept.map(|(id, w, warm, _)| (id, w * ease(warm))).collect()
     }
@@ -468,7 +472,8 @@
                 }
             }
             let may_wait = urgent.is_empty();
-            if may_wait && !(gathered && self.room(now, number, ordinary.len(), true)) {
+            let unused = !self.proxies.values().any(|p| p.bound.contains(&number));
+            if may_wait && !unused && !(gathered && self.room(now, number, ordinary.len(), true)) {
                 continue;
             }
             if !may_wait && !self.room(now, number, urgent.len(), false) {
@@ -479,7 +484,9 @@
             if urgent.is_empty() {
                 continue;
             }
-            self.gathered = now;
+            if !unused {
+                self.gathered = now;
+            }
             self.send(now, number, urgent);
         }
         self.withdrawals(now);
@@ -656,6 +663,9 @@
             ready().map(|(id, s)| (s.tally.mean_of(HURT).unwrap_or(0.0), id.clone())).collect();
         worst.sort_by(|a, b| b.0.total_cmp(&a.0));
         let par = fleet.mean_of(HURT).unwrap_or(0.0);
+        let known: Vec<f64> =
+            worst.iter().filter(|w| self.servers[&w.1].tally.total() >= ENOUGH).map(|w| w.0).collect();
+        self.middle = known.get(known.len() / 2).copied().unwrap_or(0.0);
         for (hurt, id) in worst {
             let server = self.servers.get_mut(&id).expect("just read");
             let heard = server.tally.total() >= ENOUGH;
@@ -692,14 +702,7 @@
     /// Overload: when most of the fleet hurts at once, no table helps, so no more is let in than the fleet
     /// answers, the products of most revenue first; let go step by step once the middle server is well.
     fn shed(&mut self, now: Moment) {
-        let mut hurts: Vec<f64> = self
-            .servers
-            .values()
-            .filter(|s| s.standing == Standing::Ready && s.tally.total() >= ENOUGH)
-            .map(|s| s.tally.mean_of(HURT).unwrap_or(0.0))
-            .collect();
-        hurts.sort_by(f64::total_cmp);
-        let Some(&middle) = hurts.get(hurts.len() / 2) else { return };
+        let middle = self.middle;
         let (answered, asked) =
             (self.answered / self.seen.as_secs(), self.asked.iter().sum::<f64>() / self.seen.as_secs());
         if middle > OVERLOADED {
