--- a/src/rules.rs
+++ b/src/rules.rs
@@ -24,9 +24,9 @@
 const SUBSCRIBE_AGAIN: Span = Span::from_us(700_000);
 const URGENT_AGAIN: Span = Span::from_us(150_000);
 
-/// A new server starts at this part of its weight; a step is sent when it differs by `RAMP_STEP`.
+/// A new server starts at this part of its weight; a line is sent again when its weight is off by `STEP`.
 const RAMP_FROM: f64 = 0.1;
-const RAMP_STEP: f64 = 0.15;
+const STEP: f64 = 1.25;
 
 /// The most of a zone's traffic that is kept at home where crossing costs.
 const STAY: f64 = 0.9;
@@ -463,7 +463,7 @@
                 if settled {
                     continue;
                 }
-                let step = stands.is_none_or(|s| (s - weight).abs() >= RAMP_STEP * listed.min(s * 4.0));
+                let step = stands.is_none_or(|s| (s / weight).max(weight / s) > STEP);
                 let fresh_start = stands.is_some_and(|s| s > 2.0 * weight) && self.servers[id].rung == 0;
                 if bare || fresh_start {
                     urgent.push((id.clone(), weight));
