--- a/src/rules.rs
+++ b/src/rules.rs
@@ -27,6 +27,7 @@
 /// A new server starts at this part of its weight; a line is sent again when its weight is off by `STEP`.
 const RAMP_FROM: f64 = 0.1;
 const STEP: f64 = 1.25;
+const FAR_STEP: f64 = 1.5;
 
 /// The most of a zone's traffic that is kept at home where crossing costs.
 const STAY: f64 = 0.9;
@@ -78,10 +79,18 @@
     own_zone: bool,
     products: Products,
     lines: BTreeMap<Id, f64>,
+    afar: f64,
     carried: Option<Moment>,
     levels: Vec<(Products, f64, Retry)>,
 }
 
+struct Part {
+    id: Id,
+    zone: u32,
+    weight: f64,
+    warmth: f64,
+}
+
 struct Proxy {
     zone: u32,
     joined: Moment,
@@ -332,7 +341,8 @@
         if self.tbls.contains_key(&number) || products == 0 || self.charter.slices > 0 {
             return;
         }
-        let tbl = Tbl { zone, own_zone, products, lines: BTreeMap::new(), carried: None, levels: Vec::new() };
+        let (lines, levels) = (BTreeMap::new(), Vec::new());
+        let tbl = Tbl { zone, own_zone, products, lines, afar: 1.0, carried: None, levels };
         self.tbls.insert(number, tbl);
         self.order_levels(number);
     }
@@ -390,21 +400,30 @@
         RAMP_FROM + (1.0 - RAMP_FROM) * (age.as_secs() / self.charter.cold_for.as_secs()).clamp(0.0, 1.0)
     }
 
+    /// Each ready server's weight, held back while troubled, and how far it has warmed.
+    fn parts(&self, now: Moment) -> Vec<Part> {
+        let ready = self.servers.iter().filter(|(_, s)| s.standing == Standing::Ready);
+        ready
+            .map(|(id, s)| Part {
+                id: id.clone(),
+                zone: s.zone,
+                weight: s.weight * RUNGS[s.rung],
+                warmth: self.warmth(now, s),
+            })
+            .collect()
+    }
+
     /// What a table should hold: its listed servers, eased in while cold, held back while troubled.
-    fn wanted(&self, now: Moment, zone: Option<u32>, own_zone: bool) -> BTreeMap<Id, f64> {
-        let open = || self.servers.iter().filter(move |(_, s)| !own_zone || zone == Some(s.zone));
-        let mut parts: Vec<(Id, f64, f64, u32)> = open()
-            .filter(|(_, s)| s.standing == Standing::Ready)
-            .map(|(id, s)| (id.clone(), s.weight * RUNGS[s.rung], self.warmth(now, s), s.zone))
-            .collect();
-        if let Some(home) = zone.filter(|_| !own_zone) {
-            let afar = self.afar(home, &parts);
-            parts.iter_mut().filter(|p| p.3 != home).for_each(|p| p.1 *= afar);
-        }
+    fn wanted(&self, now: Moment, zone: Option<u32>, own_zone: bool, afar: f64) -> BTreeMap<Id, f64> {
+        let mut parts = self.parts(now);
+        parts.retain(|p| !own_zone || zone == Some(p.zone));
+        parts.iter_mut().filter(|p| zone.is_some_and(|home| p.zone != home)).for_each(|p| p.weight *= afar);
         // A fleet that has shrunk, or turns most tries away and sees them again, brings a cold server more
         // than its weight says: cold lines are cut by as much, but never so far that the warm ones pay for it.
         let (mut cold, mut warm) = (0.0, 0.0);
-        parts.iter().for_each(|p| *(if p.2 < 1.0 { &mut cold } else { &mut warm }) += p.1 * p.2);
+        parts
+            .iter()
+            .for_each(|p| *(if p.warmth < 1.0 { &mut cold } else { &mut warm }) += p.weight * p.warmth);
         let crowded = (self.ready_weight() / self.peak.max(1e-9)) * (self.answered / self.tries.max(1.0));
         let least = if cold > 0.0 { ((cold + warm) / WARM_BEARS - warm) / cold } else { 1.0 };
         let cut = crowded.max(least).clamp(0.05, 1.0);
@@ -413,19 +432,20 @@
         // no weight is small enough, and cold servers stay out until the fleet answers or they are warm.
         let struggling = self.answered < STAMPEDE * self.tries || self.middle > UNEASY;
         let stampede = self.charter.shuns_after > 0 && struggling && warm > 0.0;
-        let kept = parts.into_iter().filter(|p| p.2 >= 1.0 || !stampede);
-        kept.map(|(id, w, warm, _)| (id, w * ease(warm))).collect()
+        let kept = parts.into_iter().filter(|p| p.warmth >= 1.0 || !stampede);
+        kept.map(|p| (p.id, p.weight * ease(p.warmth))).collect()
     }
 
     /// Where crossing zones costs, servers of other zones get this part of their weight: no more than it
     /// takes to carry what the zone's usual traffic has over its servers' part of the fleet.
-    fn afar(&self, home: u32, parts: &[(Id, f64, f64, u32)]) -> f64 {
-        let weight = |at_home: bool| -> f64 {
-            parts.iter().filter(|p| (p.3 == home) == at_home).map(|p| p.1 * p.2).sum()
+    fn afar(&self, now: Moment, home: u32) -> f64 {
+        let parts = self.parts(now);
+        let sum = |which: &dyn Fn(u32) -> bool| -> f64 {
+            parts.iter().filter(|p| which(p.zone)).map(|p| p.weight * p.warmth).sum()
         };
-        let (here, there) = (weight(true), weight(false));
+        let (here, there) = (sum(&|zone| zone == home), sum(&|zone| zone != home));
         let known: BTreeSet<u32> = self.usual.values().map(|u| u.0).collect();
-        let known_weight: f64 = parts.iter().filter(|p| known.contains(&p.3)).map(|p| p.1 * p.2).sum();
+        let known_weight = sum(&|zone| known.contains(&zone));
         let rate: f64 = self.usual.values().map(|u| u.1).sum();
         let home_rate: f64 = self.usual.values().filter(|u| u.0 == home).map(|u| u.1).sum();
         if here <= 0.0 || there <= 0.0 || home_rate <= 0.0 {
@@ -433,8 +453,7 @@
         }
         let due = home_rate / rate * known_weight;
         let stay = (here / due * STAY).clamp(0.0, STAY);
-        let part: f64 = here * (1.0 - stay) / (stay * there);
-        ((part.max(1e-3).log2() * 2.0).round() / 2.0).exp2().min(1.0)
+        (here * (1.0 - stay) / (stay * there)).clamp(0.01, 1.0)
     }
 
     /// One turn: drains and first usable lines at once, all else gathered and within the budgets.
@@ -446,7 +465,11 @@
         let gathered = now - self.gathered >= GATHER;
         for number in numbers {
             let tbl = &self.tbls[&number];
-            let wanted = self.wanted(now, tbl.zone, tbl.own_zone);
+            // Moved in coarse steps only, or each held-back server would move every line of other zones.
+            let afar = tbl.zone.map_or(1.0, |home| self.afar(now, home));
+            let afar = if (afar / tbl.afar).max(tbl.afar / afar) > FAR_STEP { afar } else { tbl.afar };
+            let wanted = self.wanted(now, tbl.zone, tbl.own_zone, afar);
+            self.tbls.get_mut(&number).expect("the table was laid").afar = afar;
             if self.carry(now, number, wanted.is_empty()) {
                 continue;
             }
@@ -733,7 +756,7 @@
 
     fn publish_slices(&mut self, now: Moment) {
         self.withdrawals(now);
-        let wanted = self.wanted(now, None, false);
+        let wanted = self.wanted(now, None, false, 1.0);
         let mut held: BTreeMap<Id, f64> = wanted.keys().map(|id| (id.clone(), 0.0)).collect();
         for slice in self.slices.values() {
             slice.lines.keys().for_each(|id| *held.entry(id.clone()).or_default() += 1.0);
