--- a/src/rules.rs
+++ b/src/rules.rs
@@ -20,6 +20,7 @@
 /// Changed lines are gathered for so long; list changes that can't wait are not.
 const GATHER: Span = Span::from_us(1_000_000);
 const HEARTBEAT_EVERY: Span = Span::from_us(3_000_000);
+const JOINS_GATHERED: Span = Span::from_us(150_000);
 const JOIN_BUDGET: Span = Span::from_us(5_000_000);
 const SUBSCRIBE_AGAIN: Span = Span::from_us(700_000);
 const URGENT_AGAIN: Span = Span::from_us(150_000);
@@ -238,8 +239,12 @@
         self.proxies.insert(proxy, joined);
         self.usual.insert(proxy, (zone, rate));
         self.tbls_of(zone).into_iter().for_each(|(number, home, own_zone)| self.lay(number, home, own_zone));
-        self.publish(now);
-        self.bind_waiting(now);
+        if self.usable(self.tbls_of(zone)[0].0) {
+            self.bind_waiting(now);
+        } else {
+            // Many join within a moment, and what a zone keeps at home depends on all of them.
+            self.host.wake(JOINS_GATHERED, URGENT);
+        }
         if self.proxies[&proxy].bound.is_empty() {
             // Rule 3 against tables we did not write: one that stays on its own needs the withdrawals too.
             let out: Vec<Id> = self.servers.iter().filter(|(_, s)| s.out).map(|(id, _)| id.clone()).collect();
@@ -325,7 +330,10 @@
                 self.bind_waiting(now);
             }
             SUBSCRIBE => self.subscribe(),
-            _ => self.publish(now),
+            _ => {
+                self.publish(now);
+                self.bind_waiting(now);
+            }
         }
     }
 
@@ -693,7 +701,8 @@
             let server = self.servers.get_mut(&id).expect("just read");
             let heard = server.tally.total() >= ENOUGH;
             if heard && hurt > par + STANDS_OUT && server.rung + 1 < RUNGS.len() {
-                let to = if hurt >= HOPELESS { RUNGS.len() - 1 } else { server.rung + 1 };
+                let to =
+                    if hurt >= HOPELESS { (server.rung + 3).min(RUNGS.len() - 1) } else { server.rung + 1 };
                 let cost = server.weight * (RUNGS[server.rung] - RUNGS[to]);
                 if held_back + cost <= whole * MOST_HELD_BACK {
                     held_back += cost;
