--- a/src/rules.rs
+++ b/src/rules.rs
@@ -379,9 +379,14 @@
         }
     }
 
+    fn struggling(&self) -> bool {
+        self.answered < STAMPEDE * self.tries || self.middle > UNEASY
+    }
+
     fn order_levels(&mut self, number: u32) {
         for k in 0..self.charter.products.len() {
-            let retry = self.retry_for(k);
+            // Each try that a full server turns away comes back at another: no help when most are full.
+            let retry = if self.struggling() { Retry::Never } else { self.retry_for(k) };
             let Some(tbl) = self.tbls.get_mut(&number).filter(|t| t.products & (1 << k) != 0) else {
                 continue;
             };
@@ -438,8 +443,7 @@
         let ease = |part: f64| if part < 1.0 { part * cut } else { part };
         // Proxies that shun by themselves leave a struggling fleet for whatever they have not tried yet: then
         // no weight is small enough, and cold servers stay out until the fleet answers or they are warm.
-        let struggling = self.answered < STAMPEDE * self.tries || self.middle > UNEASY;
-        let stampede = self.charter.shuns_after > 0 && struggling && warm > 0.0;
+        let stampede = self.charter.shuns_after > 0 && self.struggling() && warm > 0.0;
         let kept = parts.into_iter().filter(|p| p.warmth >= 1.0 || !stampede);
         kept.map(|p| (p.id, p.weight * ease(p.warmth))).collect()
     }
