--- a/src/rules.rs
+++ b/src/rules.rs
@@ -238,7 +238,9 @@
         let joined = Proxy { zone, joined: now, fresh, bound: BTreeSet::new(), sent: VecDeque::new() };
         self.proxies.insert(proxy, joined);
         self.usual.insert(proxy, (zone, rate));
-        self.tbls_of(zone).into_iter().for_each(|(number, home, own_zone)| self.lay(number, home, own_zone));
+        self.tbls_of(zone)
+            .into_iter()
+            .for_each(|(number, home, own_zone)| self.lay(now, number, home, own_zone));
         if self.usable(self.tbls_of(zone)[0].0) {
             self.bind_waiting(now);
         } else {
@@ -344,7 +346,7 @@
         rows.filter(|(_, p)| which(p.own_zone)).fold(0, |set, (k, _)| set | 1 << k)
     }
 
-    fn lay(&mut self, number: u32, zone: Option<u32>, own_zone: bool) {
+    fn lay(&mut self, now: Moment, number: u32, zone: Option<u32>, own_zone: bool) {
         let products = self.products(|own| own == own_zone);
         if self.tbls.contains_key(&number) || products == 0 || self.charter.slices > 0 {
             return;
@@ -352,7 +354,7 @@
         let (lines, levels) = (BTreeMap::new(), Vec::new());
         let tbl = Tbl { zone, own_zone, products, lines, afar: 1.0, carried: None, levels };
         self.tbls.insert(number, tbl);
-        self.order_levels(number);
+        self.order_levels(now, number);
     }
 
     /// The tables that a zone's proxies use: one for all zones unless crossing costs, and a further one
@@ -383,7 +385,7 @@
         self.answered < STAMPEDE * self.tries || self.middle > UNEASY
     }
 
-    fn order_levels(&mut self, number: u32) {
+    fn order_levels(&mut self, now: Moment, number: u32) {
         for k in 0..self.charter.products.len() {
             // Each try that a full server turns away comes back at another: no help when most are full.
             let retry = if self.struggling() { Retry::Never } else { self.retry_for(k) };
@@ -400,6 +402,7 @@
                 tbl.levels.retain(|l| l.0 != 1 << k);
                 tbl.levels.push(standing);
                 self.host.level(number, 1 << k, level, retry);
+                self.count_for(now, number, 1.0);
             }
         }
     }
@@ -542,7 +545,7 @@
                 tbl.lines.remove(id);
             }
         }
-        self.count(now, lines.len() as f64);
+        self.count_for(now, number, lines.len() as f64);
     }
 
     /// Rule 3: what drains or is gone is barred whatever tables joined proxies hold.
@@ -681,6 +684,12 @@
         self.waiting = (waiting, now);
     }
 
+    fn count_for(&mut self, now: Moment, number: u32, lines: f64) {
+        let users: Vec<u32> =
+            self.proxies.iter().filter(|(_, p)| p.bound.contains(&number)).map(|(n, _)| *n).collect();
+        users.into_iter().for_each(|proxy| self.message(now, proxy, lines));
+    }
+
     fn count(&mut self, now: Moment, lines: f64) {
         let proxies: Vec<u32> = self.proxies.keys().copied().collect();
         proxies.into_iter().for_each(|proxy| self.message(now, proxy, lines));
@@ -762,7 +771,11 @@
             }
         }
         let numbers: Vec<u32> = self.tbls.keys().copied().collect();
-        numbers.into_iter().for_each(|number| self.order_levels(number));
+        for number in numbers {
+            if self.room(now, number, self.levels.len(), true) {
+                self.order_levels(now, number);
+            }
+        }
     }
 
     // ---- slices: a table each, kept where it is while its server is usable ----
