--- a/src/rules.rs
+++ b/src/rules.rs
@@ -456,7 +456,7 @@
     fn afar(&self, now: Moment, home: u32) -> f64 {
         let parts = self.parts(now);
         let sum = |which: &dyn Fn(u32) -> bool| -> f64 {
-            parts.iter().filter(|p| which(p.zone)).map(|p| p.weight * p.warmth).sum()
+            parts.iter().filter(|p| which(p.zone)).map(|p| p.weight * p.warmth * p.warmth).sum()
         };
         let (here, there) = (sum(&|zone| zone == home), sum(&|zone| zone != home));
         let known: BTreeSet<u32> = self.usual.values().map(|u| u.0).collect();
@@ -736,7 +736,7 @@
                 }
             }
         }
-        if now - self.halved >= Span::secs(2.0) {
+        if now - self.halved >= Span::secs(1.0) {
             self.halved = now;
             self.servers.values_mut().for_each(|s| s.tally.halve());
             self.asked.iter_mut().for_each(|a| *a /= 2.0);
