--- a/src/rules.rs
+++ b/src/rules.rs
@@ -34,7 +34,8 @@
 const STAY: f64 = 0.9;
 /// How much more the warm servers of a table may get so that the cold ones get less.
 const WARM_BEARS: f64 = 1.25;
-const STAMPEDE: f64 = 0.5;
+const STAMPEDE: f64 = 0.7;
+const CALM: f64 = 0.85;
 const UNEASY: f64 = 0.2;
 
 /// Shares of the waiting-lines and messages budgets that ordinary changes may use; the rest is the reserve.
@@ -122,6 +123,7 @@
     seen: Span,
     budget: Option<f64>,
     middle: f64,
+    struggling: bool,
     peak: f64,
     shed_at: Moment,
     waiting: (f64, Moment),
@@ -150,6 +152,7 @@
             seen: Span::ZERO,
             budget: None,
             middle: 0.0,
+            struggling: false,
             peak: 0.0,
             shed_at: now,
             waiting: (0.0, now),
@@ -381,14 +384,10 @@
         }
     }
 
-    fn struggling(&self) -> bool {
-        self.answered < STAMPEDE * self.tries || self.middle > UNEASY
-    }
-
     fn order_levels(&mut self, now: Moment, number: u32) {
         for k in 0..self.charter.products.len() {
             // Each try that a full server turns away comes back at another: no help when most are full.
-            let retry = if self.struggling() { Retry::Never } else { self.retry_for(k) };
+            let retry = if self.struggling { Retry::Never } else { self.retry_for(k) };
             let Some(tbl) = self.tbls.get_mut(&number).filter(|t| t.products & (1 << k) != 0) else {
                 continue;
             };
@@ -446,7 +445,7 @@
         let ease = |part: f64| if part < 1.0 { part * cut } else { part };
         // Proxies that shun by themselves leave a struggling fleet for whatever they have not tried yet: then
         // no weight is small enough, and cold servers stay out until the fleet answers or they are warm.
-        let stampede = self.charter.shuns_after > 0 && self.struggling() && warm > 0.0;
+        let stampede = self.charter.shuns_after > 0 && self.struggling && warm > 0.0;
         let kept = parts.into_iter().filter(|p| p.warmth >= 1.0 || !stampede);
         kept.map(|p| (p.id, p.weight * ease(p.warmth))).collect()
     }
@@ -710,6 +709,12 @@
         let known: Vec<f64> =
             worst.iter().filter(|w| self.servers[&w.1].tally.total() >= ENOUGH).map(|w| w.0).collect();
         self.middle = known.get(known.len() / 2).copied().unwrap_or(0.0);
+        let answers = if self.tries > ENOUGH { self.answered / self.tries } else { 1.0 };
+        self.struggling = if self.struggling {
+            answers < CALM || self.middle > 0.15
+        } else {
+            answers < STAMPEDE || self.middle > UNEASY
+        };
         for (hurt, id) in worst {
             let server = self.servers.get_mut(&id).expect("just read");
             let heard = server.tally.total() >= ENOUGH;
@@ -750,7 +755,7 @@
         let middle = self.middle;
         let (answered, asked) =
             (self.answered / self.seen.as_secs(), self.asked.iter().sum::<f64>() / self.seen.as_secs());
-        if middle > OVERLOADED {
+        if middle > OVERLOADED || self.answered < STAMPEDE * self.tries {
             if now - self.shed_at >= REPORT_LAG + self.charter.report_every {
                 self.budget = Some(answered * SAFE_SHARE);
                 self.shed_at = now;
