--- a/src/rules.rs
+++ b/src/rules.rs
@@ -37,6 +37,9 @@
 const STAMPEDE: f64 = 0.7;
 const CALM: f64 = 0.85;
 const UNEASY: f64 = 0.2;
+const FULL: [f64; 2] = [0.75, 0.9];
+const MOSTLY_FULL: f64 = 0.6;
+const PROBE_ONE_IN: u64 = 2;
 
 /// Shares of the waiting-lines and messages budgets that ordinary changes may use; the rest is the reserve.
 const ORDINARY_LINES: f64 = 0.4;
@@ -125,6 +128,8 @@
     middle: f64,
     struggling: bool,
     peak: f64,
+    busy: Histogram<3>,
+    round: u64,
     shed_at: Moment,
     waiting: (f64, Moment),
     gathered: Moment,
@@ -154,6 +159,8 @@
             middle: 0.0,
             struggling: false,
             peak: 0.0,
+            busy: Histogram::default(),
+            round: 0,
             shed_at: now,
             waiting: (0.0, now),
             gathered: now,
@@ -295,10 +302,27 @@
         }
     }
 
-    pub fn probed(&mut self, now: Moment, id: &str, answered: bool, _load: &Load) {
+    pub fn probed(&mut self, now: Moment, id: &str, answered: bool, load: &Load) {
         if let Some(server) = self.servers.get_mut(id).filter(|_| answered) {
             server.heard = Some(now);
         }
+        if let Some(busy) = load.busy {
+            self.busy.add(FULL.iter().filter(|edge| busy >= **edge).count(), 1.0);
+        }
+    }
+
+    /// What proxies met comes seconds late, too late for a cold server among proxies that shun: while one
+    /// is to be eased in, some of the fleet is asked how busy it is.
+    fn probe_some(&mut self, now: Moment) {
+        self.round += 1;
+        let ready = || self.servers.iter().filter(|(_, s)| s.standing == Standing::Ready);
+        if self.charter.shuns_after > 0
+            && self.charter.busy_by_probe
+            && ready().any(|(_, s)| self.warmth(now, s) < 1.0)
+        {
+            let some = ready().enumerate().filter(|(k, _)| (*k as u64 + self.round) % PROBE_ONE_IN == 0);
+            some.for_each(|(_, (id, _))| self.host.probe(id));
+        }
     }
 
     // ---- slices ----
@@ -323,6 +347,7 @@
         match label {
             TURN => {
                 self.seen = self.seen + GATHER;
+                self.probe_some(now);
                 self.judge(now);
                 self.shed(now);
                 self.publish(now);
@@ -445,7 +470,9 @@
         let ease = |part: f64| if part < 1.0 { part * cut } else { part };
         // Proxies that shun by themselves leave a struggling fleet for whatever they have not tried yet: then
         // no weight is small enough, and cold servers stay out until the fleet answers or they are warm.
-        let stampede = self.charter.shuns_after > 0 && self.struggling && warm > 0.0;
+        let full =
+            self.busy.mean_of([0.0, 0.0, 1.0]).map_or(self.charter.busy_by_probe, |full| full > MOSTLY_FULL);
+        let stampede = self.charter.shuns_after > 0 && (self.struggling || full) && warm > 0.0;
         let kept = parts.into_iter().filter(|p| p.warmth >= 1.0 || !stampede);
         kept.map(|p| (p.id, p.weight * ease(p.warmth))).collect()
     }
@@ -744,6 +771,7 @@
         if now - self.halved >= Span::secs(1.0) {
             self.halved = now;
             self.servers.values_mut().for_each(|s| s.tally.halve());
+            self.busy.halve();
             self.asked.iter_mut().for_each(|a| *a /= 2.0);
             (self.answered, self.tries, self.seen) = (self.answered / 2.0, self.tries / 2.0, self.seen * 0.5);
         }
--- a/wirehost/src/decode.rs
+++ b/wirehost/src/decode.rs
@@ -150,8 +150,9 @@
         products: env.at("classes").rows().take(64).enumerate().map(product).collect(),
         list_on_request: env.at("discovery").word() == "ask",
         crossing_costs: env.at("charges").at("crossZone").num() > 0.0,
-        probes: env.at("bounds").at("probes").yes(),
-        load_by_probe: env.at("reporting").at("how").word() == "probe",
+        busy_by_probe: env.at("bounds").at("probes").yes()
+            && env.at("reporting").at("how").word() == "probe"
+            && env.at("reporting").at("names").rows().any(|name| name.word() == "util"),
         admission: match info.at("throttleBy").word() {
             "fraction" => Admission::Share,
             "per_second" => Admission::PerSecond,
