--- a/src/charter.rs
+++ b/src/charter.rs
@@ -2,23 +2,11 @@
 
 use crate::time::Span;
 
-/// How far a product's txn may be repeated.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Repeat {
-    /// Harmless to run again.
-    InquiryLike,
-    /// Carries a reference by which the servers of a group drop a repeat for a while.
-    Referenced { all_servers: bool, window: Span },
-    /// Must never run twice.
-    OnceOnly,
-}
-
 /// One row a product: only what the decisions read.
 #[derive(Clone, Copy, Debug)]
 pub struct Product {
     pub sla: Span,
     pub revenue: f64,
-    pub repeat: Repeat,
     pub own_zone: bool,
     pub writes: bool,
 }
@@ -49,7 +37,6 @@
     /// How long a proxy that lost its supervisor may go on writing to a slice's old owner.
     pub lease: Span,
     pub settle: Span,
-    pub try_factor: f64,
     pub report_every: Span,
     pub channel_rate: f64,
     pub message_head: f64,
@@ -57,11 +44,9 @@
     /// Messages one proxy may get within `messages_over`; 0: no limit.
     pub messages_most: u32,
     pub messages_over: Span,
-    /// Mean and longest way of a message from the channel to a proxy.
-    pub way: Span,
+    /// The longest way of a message from the channel to a proxy.
     pub way_most: Span,
     pub drain_grace: Span,
-    pub cold_from: f64,
     pub cold_for: Span,
     /// A server merely dropped from the list need not be left.
     pub only_drains_bind: bool,
--- a/src/host.rs
+++ b/src/host.rs
@@ -29,15 +29,6 @@
     pub started: Option<Moment>,
 }
 
-/// What a server's own load report says, where it came along.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Load {
-    /// Txns that wait.
-    pub queue: Option<f64>,
-    /// Share of its cores that is busy.
-    pub busy: Option<f64>,
-}
-
 /// When a proxy tries another server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Retry {
--- a/src/time.rs
+++ b/src/time.rs
@@ -63,6 +63,13 @@
     }
 }
 
+impl Sub for Span {
+    type Output = Span;
+    fn sub(self, less: Span) -> Span {
+        Span(self.0.saturating_sub(less.0))
+    }
+}
+
 impl Mul<f64> for Span {
     type Output = Span;
     fn mul(self, by: f64) -> Span {
--- a/wirehost/src/decode.rs
+++ b/wirehost/src/decode.rs
@@ -1,7 +1,7 @@
 //! From wire lines to the words of the rules. What is unknown is skipped; what is amiss is named.
 
-use otterwinch::charter::{Admission, Charter, Product, Repeat};
-use otterwinch::host::{Listing, Load, Standing};
+use otterwinch::charter::{Admission, Charter, Product};
+use otterwinch::host::{Listing, Standing};
 use otterwinch::time::{Moment, Span};
 use serde_json::{Map, Value};
 
@@ -55,6 +55,11 @@
         self.get(name, "a text", Value::as_str)
     }
 
+    /// One value of a load report, where one came along and holds it.
+    pub fn load(&self, name: &str) -> Option<f64> {
+        self.map.get("telemetry").and_then(|report| report.get(name)).and_then(Value::as_f64)
+    }
+
     /// False marks are left out on the wire.
     pub fn mark(&self, name: &str) -> bool {
         self.map.get(name).and_then(Value::as_bool).unwrap_or(false)
@@ -65,11 +70,6 @@
     }
 }
 
-pub fn load(f: &Fields) -> Load {
-    let part = |name| f.map.get("telemetry").and_then(|t| t.get(name)).and_then(Value::as_f64);
-    Load { queue: part("queue"), busy: part("util") }
-}
-
 pub fn listings(f: &Fields) -> Result<Vec<Listing>, String> {
     let entries = f.get("elements", "a list", Value::as_array)?;
     entries.iter().map(listing).collect()
@@ -134,15 +134,6 @@
     let product = |(k, row): (usize, Figures)| Product {
         sla: row.at("promiseUs").span(),
         revenue: row.at("importance").num(),
-        // An effect that nobody named is taken for the strictest.
-        repeat: match row.at("effect").word() {
-            "idempotent" => Repeat::InquiryLike,
-            "deduplicated" => Repeat::Referenced {
-                all_servers: row.at("group").word() == "all",
-                window: row.at("keyTtlUs").span(),
-            },
-            _ => Repeat::OnceOnly,
-        },
         own_zone: by_product("staysLocal", k),
         writes: by_product("writeClasses", k),
     };
@@ -163,17 +154,14 @@
         single_writer: info.at("singleWriter").yes(),
         lease: info.at("keepsWritingUs").span(),
         settle: info.at("settleUs").span(),
-        try_factor: info.at("tryFactor").num(),
         report_every: info.at("reportEveryUs").span(),
         channel_rate: info.at("channelRate").num(),
         message_head: info.at("fixedCost").num(),
         most_waiting: info.at("mostWaiting").num(),
         messages_most: info.at("pushesAllowed").count(),
         messages_over: info.at("reloadSpanUs").span(),
-        way: info.at("propagationUs").span(),
         way_most: info.at("transitMaxUs").span(),
         drain_grace: rules.at("drainGraceUs").span(),
-        cold_from: rules.at("coldFrom").num(),
         cold_for: rules.at("coldUs").span(),
         only_drains_bind: rules.at("removalNotBinding").yes(),
     }
--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -86,17 +86,17 @@
         let now = self.now;
         let call: Call = match f.kind {
             "TOPOLOGY" => match f.whole("form")? {
-                3 => Box::new(move |rules| rules.list_failed(now)),
+                3 => Box::new(|rules| rules.list_failed()),
                 form @ 0..=2 => {
                     let page = f.whole("page")?;
                     let listings =
                         self.pages.get(&page).ok_or(format!("TOPOLOGY: page {page} never came"))?.clone();
                     Box::new(move |rules| {
                         rules.host().learn(listings.iter().map(|l| &l.id));
-                        match form {
-                            0 => rules.list_changed(now, &listings),
-                            1 => rules.list_whole(now, &listings),
-                            _ => rules.list_remembered(now, &listings),
+                        if form == 0 {
+                            rules.list_changed(now, &listings)
+                        } else {
+                            rules.list_whole(now, &listings)
                         }
                     })
                 }
@@ -114,15 +114,14 @@
                 let px = f.small("px")?;
                 Box::new(move |rules| {
                     rules.host().joined(px, false);
-                    rules.proxy_left(now, px);
+                    rules.proxy_left(px);
                 })
             }
             "HEARD" => {
-                let (id, zone) = (f.text("server")?, f.small("campus")?);
+                let id = f.text("server")?;
                 let (tries, bad) = (f.count("triesN")?, f.count("bad")?);
                 let took = Span::from_us(f.int_or("delaySeenUs", 0)?);
-                let load = decode::load(f);
-                Box::new(move |rules| rules.met(now, id, zone, tries, bad, took, &load))
+                Box::new(move |rules| rules.met(now, id, tries, bad, took))
             }
             "INGRESS" => {
                 let (product, txns) = (f.small("class")?, f.count("triesN")?);
@@ -130,8 +129,8 @@
             }
             "STATUS_BACK" => {
                 let (id, code) = (f.text("server")?, f.text("code")?);
-                let load = decode::load(f);
-                Box::new(move |rules| rules.probed(now, id, code == "ok", &load))
+                let busy = f.load("util");
+                Box::new(move |rules| rules.probed(now, id, code == "ok", busy))
             }
             "BELL" => {
                 let label = f.whole("label")?;
@@ -142,9 +141,9 @@
                 Box::new(move |rules| {
                     rules.host().charged(slice, given);
                     if given {
-                        rules.slice_given(now, slice)
+                        rules.slice_given(slice)
                     } else {
-                        rules.slice_taken(now, slice)
+                        rules.slice_taken(slice)
                     }
                 })
             }
@@ -153,7 +152,7 @@
                 Box::new(move |rules| {
                     let id = id.into();
                     rules.host().learn([&id].into_iter());
-                    rules.slice_line(now, slice, &id, weight)
+                    rules.slice_line(slice, &id, weight)
                 })
             }
             // Nothing is decided by these: demand by slice, applied marks and peers' words.
