--- a/src/rules.rs
+++ b/src/rules.rs
@@ -62,7 +62,8 @@
 
 /// A struggling fleet: the middle server's hurt, or the part of tries answered; it is over at the second.
 const HURTING: (f64, f64) = (0.2, 0.15);
-const ANSWERS: (f64, f64) = (0.7, 0.85);
+const ANSWERS: (f64, f64) = (0.85, 0.92);
+const SHED_AT: f64 = 0.7;
 const SAFE_SHARE: f64 = 0.9;
 const RELIEF: f64 = 1.08;
 const LEVEL_FLOOR: f64 = 0.1;
@@ -133,6 +134,7 @@
     asked: Vec<f64>,
     tries: f64,
     answered: f64,
+    served: f64,
     over: Span,
 }
 
@@ -276,6 +278,7 @@
         let answered = (tries - voided).max(0.0);
         self.flow.tries += tries;
         self.flow.answered += answered;
+        self.flow.served += answered;
         if answered > 0.0 {
             server.heard = Some(now);
         }
@@ -652,7 +655,8 @@
             return;
         }
         let parts = self.parts(now);
-        let some = parts.iter().enumerate().filter(|(k, _)| (*k as u64 + self.round) % PROBE_ONE_IN == 0);
+        let some =
+            parts.iter().enumerate().filter(|(k, _)| (*k as u64 + self.round).is_multiple_of(PROBE_ONE_IN));
         let cold = parts.iter().any(|p| p.warmth < 1.0);
         some.filter(|_| cold).for_each(|(_, p)| self.host.probe(&p.id));
     }
@@ -697,7 +701,8 @@
         self.busy.halve();
         let flow = &mut self.flow;
         flow.asked.iter_mut().for_each(|asked| *asked /= 2.0);
-        (flow.tries, flow.answered, flow.over) = (flow.tries / 2.0, flow.answered / 2.0, flow.over * 0.5);
+        (flow.tries, flow.answered) = (flow.tries / 4.0, flow.answered / 4.0);
+        (flow.served, flow.over) = (flow.served / 2.0, flow.over * 0.5);
     }
 
     /// When most of the fleet hurts at once no table helps: no more is let in than it answers, products of
@@ -706,10 +711,12 @@
     fn shed(&mut self, now: Moment) {
         let (over, flow) = (self.flow.over.as_secs().max(0.1), &self.flow);
         let answers = if flow.tries < ENOUGH { 1.0 } else { flow.answered / flow.tries };
-        let hurting = answers < ANSWERS.0 || self.middle > HURTING.0;
-        self.struggling = hurting || self.struggling && (answers < ANSWERS.1 || self.middle > HURTING.1);
+        let hurting = answers < SHED_AT || self.middle > HURTING.0;
+        self.struggling = hurting
+            || answers < ANSWERS.0
+            || self.struggling && (answers < ANSWERS.1 || self.middle > HURTING.1);
         if hurting && now - self.shed >= REPORT_LAG + self.charter.report_every {
-            self.budget = Some(flow.answered / over * SAFE_SHARE);
+            self.budget = Some(flow.served / over * SAFE_SHARE);
             self.shed = now;
         } else if !self.struggling {
             let asked = flow.asked.iter().sum::<f64>() / over;
