--- a/src/rules.rs
+++ b/src/rules.rs
@@ -5,7 +5,7 @@
 //!
 //! The ordinary path is that of docs/design.md: few shared tables of all listed servers at listed weight,
 //! looked at every turn, only changes sent. `publish` is the one place where they go out. The guards: rule 1
-//! `wanted` and `bind_waiting`, rule 2 `retry` and `publish_slices`, rule 3 `leaving` in `publish`, rule 4
+//! `wanted` and `bind_waiting`, rule 2 `RETRY` and `publish_slices`, rule 3 `leaving` in `publish`, rule 4
 //! `warmth` and `eased`, rule 5 `room`.
 
 use crate::chance::Chance;
@@ -38,6 +38,10 @@
 const STAY: f64 = 0.9;
 const FAR_STEP: f64 = 1.5;
 
+/// Rule 2: proxies repeat nothing on our orders, so no product's window or group can be missed. What a full
+/// server turns away came back at the next one, and a zone that had just become full drowned in it.
+const RETRY: Retry = Retry::Never;
+
 /// Parts of the waiting lines and messages that ordinary changes may use; messages kept back for drains; the
 /// part of its stated pace that a channel is trusted with, for it may be slower and nobody says so.
 const ORDINARY_LINES: f64 = 0.4;
@@ -105,7 +109,7 @@
     lines: BTreeMap<Id, f64>,
     afar: f64,
     carried: Option<Moment>,
-    levels: BTreeMap<usize, (f64, Retry)>,
+    levels: BTreeMap<usize, f64>,
 }
 
 struct Part {
@@ -518,8 +522,7 @@
 
     fn send(&mut self, now: Moment, number: u32, changes: Vec<(Id, f64)>) {
         let mut orders = 0;
-        let levels: Vec<(usize, (f64, Retry))> =
-            (0..self.levels.len()).map(|k| (k, (self.admitted(k), self.retry()))).collect();
+        let levels: Vec<(usize, f64)> = (0..self.levels.len()).map(|k| (k, self.admitted(k))).collect();
         let Some(tbl) = self.tbls.get_mut(&number) else { return };
         for (id, weight) in changes {
             // One that returns is let back in with its first line, not before: until then it may be cold.
@@ -537,7 +540,7 @@
         }
         for (k, level) in levels.into_iter().filter(|(k, _)| tbl.products & (1 << k) != 0) {
             if tbl.levels.insert(k, level) != Some(level) {
-                self.host.level(number, 1 << k, level.0, level.1);
+                self.host.level(number, 1 << k, level, RETRY);
                 orders += 1;
             }
         }
@@ -547,16 +550,6 @@
         }
     }
 
-    /// Rule 2: never after a try that may have run, so that no product's window or group can be missed. What
-    /// full servers turn away comes back at the next one: no help when most of them are full.
-    fn retry(&self) -> Retry {
-        if self.struggling {
-            Retry::Never
-        } else {
-            Retry::IfNeverRan
-        }
-    }
-
     fn admitted(&self, product: usize) -> f64 {
         match self.charter.admission {
             Admission::Share => self.levels[product],
@@ -752,8 +745,7 @@
         self.slices.remove(&slice);
     }
 
-    /// A slice stays where it is while a server of its table is usable; else it goes to the one with the
-    /// fewest for its weight.
+    /// A slice stays where it is while a server of its table is usable; else it goes to one drawn by weight.
     fn publish_slices(&mut self, now: Moment) {
         let leaving = self.leaving();
         self.withdraw(now, &leaving);
@@ -765,31 +757,31 @@
         let rows = self.charter.products.iter().enumerate().filter(|(_, p)| p.writes);
         let writes = rows.fold(0, |set, (k, _)| set | 1 << k);
         let in_hand = self.charter.way_most + self.charter.lease + self.charter.settle;
-        let mut load: BTreeMap<Id, f64> = usable.keys().map(|id| (id.clone(), 0.0)).collect();
-        let held = self.slices.values().flat_map(|s| s.lines.keys());
-        held.for_each(|id| *load.entry(id.clone()).or_default() += 1.0);
+        let whole: f64 = usable.values().map(|u| u.0).sum();
         for (&number, slice) in self.slices.iter_mut() {
-            let kept = slice.lines.keys().any(|id| usable.contains_key(id)) && slice.moving.is_none();
-            let lightest = usable.iter().min_by(|a, b| (load[a.0] / a.1 .0).total_cmp(&(load[b.0] / b.1 .0)));
-            let Some((id, _)) = lightest.filter(|_| !kept) else { continue };
+            if slice.moving.is_none() && slice.lines.keys().any(|id| usable.contains_key(id)) {
+                continue;
+            }
+            let mut drawn = whole * self.chance.unit();
+            let mut lines = usable.iter();
+            let Some((id, _)) = lines.find(|(_, u)| (drawn -= u.0, drawn < 0.0).1) else { continue };
             if self.charter.single_writer && !slice.lines.is_empty() {
                 // Rule 2: writes stop, and those in hand or still sent on a lease end, before another owns.
                 let since = *slice.moving.get_or_insert(now);
                 if since == now {
-                    self.host.level(number, writes, 0.0, Retry::IfNeverRan);
+                    self.host.level(number, writes, 0.0, RETRY);
                 }
                 if now - since < in_hand * 1.5 {
                     continue;
                 }
                 slice.moving = None;
-                self.host.level(number, writes, 1.0, Retry::IfNeverRan);
+                self.host.level(number, writes, 1.0, RETRY);
             }
             for old in std::mem::take(&mut slice.lines).into_keys().filter(|_| !self.charter.single_writer) {
                 self.host.line(number, &old, 0.0);
             }
             self.host.line(number, id, 1.0);
             slice.lines.insert(id.clone(), 1.0);
-            *load.entry(id.clone()).or_default() += 1.0;
         }
     }
 }
