--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,4 +8,6 @@
 pub mod histogram;
 pub mod host;
 pub mod rules;
+#[cfg(test)]
+mod testing;
 pub mod time;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -785,3 +785,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/rules/tests.rs
@@ -0,0 +1,354 @@
+//! One test a part of the mechanism and a guard; each builds its state and makes one call.
+
+use super::*;
+use crate::testing::{at, charter, listing, running};
+use Standing::{Draining, Gone, Ready};
+
+fn said(rules: &mut Rules<crate::testing::Recorder>) -> String {
+    rules.host().said.join("\n")
+}
+
+#[test]
+fn a_table_holds_every_listed_server_at_listed_weight() {
+    let mut rules = running(charter(), &[], 1);
+    rules.list_whole(at(1.0), &[listing("a", 0, Ready, None), listing("b", 3, Ready, None)]);
+    assert_eq!((rules.host.weight(0, "a"), rules.host.weight(0, "b")), (Some(2.0), Some(2.0)));
+}
+
+#[test]
+fn only_lines_that_differ_are_sent() {
+    let mut rules = running(charter(), &["a", "b"], 1);
+    let mut heavier = listing("b", 0, Ready, None);
+    heavier.weight = 3.0;
+    rules.list_whole(at(2.0), &[listing("a", 0, Ready, None), heavier]);
+    assert_eq!(rules.host.said, ["line 0 b 3"]);
+}
+
+#[test]
+fn changes_that_can_wait_are_gathered() {
+    let mut rules = running(charter(), &["a"], 1);
+    rules.gathered = at(1.0);
+    rules.list_changed(at(1.5), &[listing("b", 0, Ready, None)]);
+    assert_eq!(rules.host.count("line"), 0);
+}
+
+#[test]
+fn a_draining_server_leaves_at_once_whatever_the_gathering() {
+    let mut rules = running(charter(), &["a", "b"], 1);
+    rules.gathered = at(1.0);
+    rules.list_changed(at(1.1), &[listing("a", 0, Draining, None)]);
+    assert_eq!(rules.host.said, ["withdraw a true", "line 0 a 0"]);
+}
+
+#[test]
+fn a_server_missing_from_a_whole_list_is_gone() {
+    let mut rules = running(charter(), &["a", "b"], 1);
+    rules.list_whole(at(2.0), &[listing("b", 0, Ready, None)]);
+    assert!(said(&mut rules).contains("withdraw a true"));
+}
+
+#[test]
+fn an_emptied_table_is_truth_when_nobody_reports() {
+    let mut rules = running(charter(), &["a"], 1);
+    rules.list_whole(at(2.0), &[]);
+    assert!(said(&mut rules).contains("line 0 a 0"));
+}
+
+#[test]
+fn a_table_that_vanished_while_its_servers_report_is_carried() {
+    let mut rules = running(charter(), &["a"], 1);
+    rules.servers.get_mut("a").unwrap().heard = Some(at(1.5));
+    rules.list_whole(at(2.0), &[]);
+    assert_eq!((rules.host.count("line"), rules.host.count("withdraw")), (0, 0));
+}
+
+#[test]
+fn a_carried_table_ends_within_the_grace() {
+    let mut rules = running(charter(), &["a"], 1);
+    rules.servers.get_mut("a").unwrap().heard = Some(at(1.5));
+    rules.servers.get_mut("a").unwrap().standing = Gone;
+    rules.tbls.get_mut(&0).unwrap().carried = Some(at(2.0));
+    rules.woke(at(3.0), AGAIN);
+    assert!(said(&mut rules).contains("withdraw a true"));
+}
+
+#[test]
+fn a_returning_server_is_let_back_in_with_its_line() {
+    let mut rules = running(charter(), &["a", "b"], 1);
+    let back = rules.servers.get_mut("a").unwrap();
+    (back.standing, back.out) = (Gone, true);
+    rules.tbls.get_mut(&0).unwrap().lines.remove("a");
+    rules.list_changed(at(40.0), &[listing("a", 0, Ready, Some(at(10.0)))]);
+    assert_eq!(rules.host.said, ["withdraw a false", "line 0 a 2"]);
+}
+
+#[test]
+fn a_new_server_starts_at_a_tenth() {
+    let mut rules = running(charter(), &["a", "b", "c", "d"], 1);
+    rules.list_changed(at(2.0), &[listing("e", 0, Ready, Some(at(2.0)))]);
+    assert!(rules.host.weight(0, "e").unwrap() <= 0.2 + 1e-9);
+}
+
+#[test]
+fn the_ramp_counts_from_the_start_not_from_the_list() {
+    let rules = running(charter(), &["a"], 1);
+    let mut server = listing_server(&rules);
+    server.started = Some(at(-8.0));
+    assert!((rules.warmth(at(0.0), &server) - 0.55).abs() < 1e-9);
+}
+
+fn listing_server(rules: &Rules<crate::testing::Recorder>) -> Server {
+    let s = &rules.servers["a"];
+    Server { started: s.started, heard: None, tally: s.tally, ..*s }
+}
+
+#[test]
+fn a_restart_behind_the_same_id_can_not_wait() {
+    let mut rules = running(charter(), &["a", "b"], 1);
+    rules.gathered = at(1.0);
+    rules.list_changed(at(1.1), &[listing("a", 0, Ready, Some(at(1.0)))]);
+    assert!(rules.host.weight(0, "a").unwrap() < 0.3);
+}
+
+#[test]
+fn a_fleet_that_turns_tries_away_cuts_its_cold_lines() {
+    let mut rules = running(charter(), &["a", "b", "c", "d", "e"], 1);
+    (rules.flow.tries, rules.flow.answered) = (100.0, 50.0);
+    rules.list_changed(at(2.0), &[listing("f", 0, Ready, Some(at(2.0)))]);
+    assert!(rules.host.weight(0, "f").unwrap() <= 0.1 + 1e-9);
+}
+
+#[test]
+fn no_cold_server_joins_a_struggling_fleet_whose_proxies_shun() {
+    let mut rules = running(Charter { shuns_after: 3, ..charter() }, &["a", "b"], 1);
+    rules.struggling = true;
+    rules.list_changed(at(2.0), &[listing("c", 0, Ready, Some(at(2.0)))]);
+    assert_eq!(rules.host.count("line"), 0);
+}
+
+#[test]
+fn cold_servers_are_all_there_is_when_all_are_cold() {
+    let mut rules = running(Charter { shuns_after: 3, ..charter() }, &[], 1);
+    rules.struggling = true;
+    rules.list_changed(at(2.0), &[listing("c", 0, Ready, Some(at(2.0)))]);
+    assert!(rules.host.weight(0, "c").is_some());
+}
+
+#[test]
+fn the_fleet_is_asked_how_busy_it_is_only_while_one_is_eased_in() {
+    let mut rules = running(Charter { shuns_after: 3, busy_by_probe: true, ..charter() }, &["a", "b"], 1);
+    rules.servers.get_mut("a").unwrap().started = Some(at(1.0));
+    rules.probe_some(at(2.0));
+    assert_eq!(rules.host.count("probe"), 1);
+}
+
+#[test]
+fn home_keeps_most_where_crossing_costs() {
+    let mut rules = running(Charter { crossing_costs: true, ..charter() }, &["a"], 1);
+    rules.proxy_joined(at(1.0), 1, 1, 10.0, true);
+    rules.list_changed(at(2.0), &[listing("b", 1, Ready, None)]);
+    assert!((rules.host.weight(2, "b").unwrap() / 2.0 - 1.0 / 9.0).abs() < 1e-9);
+}
+
+#[test]
+fn a_zone_without_servers_uses_the_others_in_full() {
+    let mut rules = running(Charter { crossing_costs: true, ..charter() }, &["a"], 0);
+    rules.proxy_joined(at(1.0), 1, 5, 10.0, true);
+    rules.woke(at(1.2), AGAIN);
+    assert_eq!(rules.host.weight(12, "a"), Some(2.0));
+}
+
+#[test]
+fn products_that_stay_get_a_table_of_their_zone() {
+    let mut charter = charter();
+    charter.products[1].own_zone = true;
+    let mut rules = running(charter, &["a"], 1);
+    rules.list_changed(at(2.0), &[listing("b", 1, Ready, None)]);
+    assert_eq!((rules.host.weight(0, "b"), rules.host.weight(3, "b")), (Some(2.0), None));
+}
+
+#[test]
+fn a_bind_waits_for_a_usable_server() {
+    let mut rules = running(charter(), &[], 0);
+    rules.proxy_joined(at(1.0), 4, 0, 10.0, true);
+    assert_eq!(rules.host.count("bind"), 0);
+}
+
+#[test]
+fn a_first_join_gets_its_best_tables_once_the_budget_is_spent() {
+    let mut charter = charter();
+    charter.products[1].own_zone = true;
+    let mut rules = running(charter, &["a"], 0);
+    rules.proxy_joined(at(1.0), 4, 9, 10.0, true);
+    rules.woke(at(6.5), HEARTBEAT);
+    assert_eq!(rules.host.count("bind 4 0 1"), 1);
+}
+
+#[test]
+fn a_proxy_served_before_gets_no_partial_tables() {
+    let mut charter = charter();
+    charter.products[1].own_zone = true;
+    let mut rules = running(charter, &["a"], 0);
+    rules.proxy_joined(at(1.0), 4, 9, 10.0, false);
+    rules.woke(at(6.5), HEARTBEAT);
+    assert_eq!(rules.host.count("bind"), 0);
+}
+
+#[test]
+fn held_binds_are_tried_again_on_a_jittered_heartbeat() {
+    let mut charter = charter();
+    charter.products[1].own_zone = true;
+    let mut rules = running(charter, &["a"], 0);
+    rules.proxy_joined(at(1.0), 4, 9, 10.0, true);
+    rules.bind_waiting(at(1.2));
+    assert_eq!(rules.host.count("wake 2 "), 1);
+}
+
+#[test]
+fn a_joined_proxy_that_stays_unbound_is_told_who_is_out() {
+    let mut rules = running(charter(), &["a"], 0);
+    let a = rules.servers.get_mut("a").unwrap();
+    (a.standing, a.out) = (Gone, true);
+    rules.tbls.clear();
+    rules.proxy_joined(at(1.0), 4, 0, 10.0, false);
+    assert_eq!(rules.host.count("withdraw a true"), 1);
+}
+
+#[test]
+fn a_proxy_that_joins_again_is_bound_again() {
+    let mut rules = running(charter(), &["a"], 1);
+    rules.proxy_joined(at(2.0), 0, 0, 10.0, false);
+    assert_eq!(rules.host.count("bind 0 0 3"), 1);
+}
+
+#[test]
+fn ordinary_changes_leave_messages_for_drains() {
+    let mut rules = running(charter(), &["a"], 1);
+    rules.proxies.get_mut(&0).unwrap().sent = (1..=6).map(|s| at(f64::from(s))).collect();
+    assert!(!rules.room(at(7.0), 1, false) && rules.room(at(8.5), 1, true));
+}
+
+#[test]
+fn drains_never_pass_the_message_limit() {
+    let mut rules = running(charter(), &["a", "b"], 1);
+    rules.proxies.get_mut(&0).unwrap().sent = (0..12).map(|k| at(1.0 + 0.1 * f64::from(k))).collect();
+    rules.list_changed(at(4.0), &[listing("a", 0, Draining, None)]);
+    assert_eq!((rules.host.count("withdraw"), rules.host.count("wake 4 ")), (0, 1));
+}
+
+#[test]
+fn a_long_queue_holds_ordinary_changes_back() {
+    let mut rules = running(charter(), &["a"], 1);
+    rules.waiting = (500.0, at(2.0));
+    assert!(!rules.room(at(2.0), 1, false) && rules.room(at(2.0), 1, true));
+}
+
+#[test]
+fn no_further_try_is_ever_ordered() {
+    let mut rules = running(charter(), &["a"], 0);
+    rules.lay_tbls(0);
+    rules.tbls.get_mut(&0).unwrap().levels.clear();
+    rules.send(at(1.0), 0, Vec::new());
+    assert_eq!(rules.host.count("level"), rules.host.said.iter().filter(|s| s.ends_with("Never")).count());
+    assert_eq!(rules.host.count("level"), 2);
+}
+
+#[test]
+fn a_server_that_hurts_more_than_its_peers_goes_down_a_rung() {
+    let mut rules = running(charter(), &["a", "b", "c", "d"], 1);
+    rules.servers.values_mut().for_each(|s| s.tally.add(0, 20.0));
+    rules.servers.get_mut("c").unwrap().tally.add(VOIDED, 20.0);
+    rules.judge(at(5.0));
+    assert_eq!(rules.servers.values().map(|s| s.rung).collect::<Vec<_>>(), [0, 0, 1, 0]);
+}
+
+#[test]
+fn only_part_of_the_fleet_is_held_back() {
+    let mut rules = running(charter(), &["a", "b", "c"], 1);
+    rules.servers.values_mut().for_each(|s| s.tally.add(0, 100.0));
+    for id in ["a", "b"] {
+        rules.servers.get_mut(id).unwrap().tally = Histogram::default();
+        rules.servers.get_mut(id).unwrap().tally.add(VOIDED, 20.0);
+    }
+    rules.judge(at(5.0));
+    assert_eq!(rules.servers.values().filter(|s| s.rung > 0).count(), 1);
+}
+
+#[test]
+fn a_rung_is_let_go_after_a_rest() {
+    let mut rules = running(charter(), &["a", "b"], 1);
+    let a = rules.servers.get_mut("a").unwrap();
+    (a.rung, a.strikes, a.judged) = (2, 1, at(1.0));
+    rules.judge(at(5.5));
+    assert_eq!(rules.servers["a"].rung, 1);
+}
+
+#[test]
+fn reports_of_the_weight_before_the_last_move_do_not_count() {
+    let mut rules = running(charter(), &["a"], 1);
+    (rules.servers.get_mut("a").unwrap().rung, rules.servers.get_mut("a").unwrap().judged) = (1, at(5.0));
+    rules.met(at(6.0), "a", 10.0, 10.0, Span::ZERO);
+    assert_eq!(rules.servers["a"].tally.total(), 0.0);
+}
+
+#[test]
+fn overload_lets_in_what_is_answered_and_the_dearest_first() {
+    let mut rules = running(charter(), &["a"], 1);
+    rules.flow =
+        Flow { asked: vec![100.0, 50.0], tries: 150.0, answered: 60.0, served: 60.0, over: Span::secs(1.0) };
+    rules.shed(at(9.0));
+    assert!(rules.levels[0] <= LEVEL_FLOOR && rules.levels[1] == 1.0);
+}
+
+#[test]
+fn levels_come_back_once_the_fleet_is_well() {
+    let mut rules = running(charter(), &["a"], 1);
+    rules.budget = Some(100.0);
+    rules.flow =
+        Flow { asked: vec![100.0, 50.0], tries: 90.0, answered: 90.0, served: 90.0, over: Span::secs(1.0) };
+    rules.shed(at(9.0));
+    assert!(rules.budget.unwrap() > 100.0);
+}
+
+#[test]
+fn a_failed_list_call_is_made_again() {
+    let mut rules = running(Charter { list_on_request: true, ..charter() }, &["a"], 1);
+    rules.list_failed();
+    assert_eq!(rules.host.count("wake 3 "), 1);
+}
+
+#[test]
+fn reports_for_servers_never_listed_are_passed_over() {
+    let mut rules = running(charter(), &["a"], 1);
+    rules.met(at(1.0), "nobody", 5.0, 5.0, Span::ZERO);
+    assert_eq!(rules.flow.tries, 0.0);
+}
+
+#[test]
+fn a_charter_of_zeros_stops_nothing() {
+    let zero =
+        Charter { most_waiting: 0.0, channel_rate: 0.0, cold_for: Span::ZERO, messages_most: 0, ..charter() };
+    let mut rules = running(zero, &["a"], 2);
+    rules.list_changed(at(2.0), &[listing("b", 0, Ready, Some(at(2.0)))]);
+    assert_eq!(rules.host.weight(0, "b"), Some(2.0));
+}
+
+#[test]
+fn a_slice_whose_server_left_gets_another() {
+    let mut rules = running(Charter { slices: 2, ..charter() }, &["a", "b"], 0);
+    rules.slice_given(1);
+    rules.slice_line(1, &"a".into(), 1.0);
+    rules.list_changed(at(2.0), &[listing("a", 0, Gone, None)]);
+    assert_eq!(rules.host.said, ["withdraw a true", "line 1 a 0", "line 1 b 1"]);
+}
+
+#[test]
+fn a_slice_with_one_writer_stops_its_writes_before_it_moves() {
+    let mut charter = Charter { slices: 2, single_writer: true, ..charter() };
+    charter.products[1].writes = true;
+    let mut rules = running(charter, &["a", "b"], 0);
+    rules.slice_given(1);
+    rules.slice_line(1, &"a".into(), 1.0);
+    rules.list_changed(at(2.0), &[listing("a", 0, Draining, None)]);
+    assert_eq!(rules.host.said, ["withdraw a true", "level 1 2 0.00 Never"]);
+}
--- /dev/null
+++ b/src/testing.rs
@@ -0,0 +1,95 @@
+//! What the module's tests share: a host that writes down what it is told, and a charter and rules to start from.
+
+use crate::charter::{Admission, Charter, Product};
+use crate::host::{Host, Id, Listing, Products, Retry, Standing};
+use crate::rules::Rules;
+use crate::time::{Moment, Span};
+use std::fmt;
+
+#[derive(Default)]
+pub struct Recorder {
+    pub said: Vec<String>,
+}
+
+impl Recorder {
+    pub fn count(&self, start: &str) -> usize {
+        self.said.iter().filter(|s| s.starts_with(start)).count()
+    }
+
+    pub fn weight(&self, tbl: u32, id: &str) -> Option<f64> {
+        let start = format!("line {tbl} {id} ");
+        self.said.iter().rev().find_map(|s| s.strip_prefix(&start)?.parse().ok())
+    }
+}
+
+impl Host for Recorder {
+    fn line(&mut self, tbl: u32, server: &Id, weight: f64) {
+        self.said.push(format!("line {tbl} {server} {weight}"));
+    }
+    fn bind(&mut self, proxy: u32, tbl: u32, products: Products) {
+        self.said.push(format!("bind {proxy} {tbl} {products}"));
+    }
+    fn withdraw(&mut self, server: &Id, out: bool) {
+        self.said.push(format!("withdraw {server} {out}"));
+    }
+    fn level(&mut self, tbl: u32, products: Products, admitted: f64, retry: Retry) {
+        self.said.push(format!("level {tbl} {products} {admitted:.2} {retry:?}"));
+    }
+    fn follow_list(&mut self) {
+        self.said.push("follow".into());
+    }
+    fn probe(&mut self, server: &Id) {
+        self.said.push(format!("probe {server}"));
+    }
+    fn wake(&mut self, after: Span, label: u64) {
+        self.said.push(format!("wake {label} {}", after.as_us()));
+    }
+    fn note(&mut self, text: fmt::Arguments<'_>) {
+        self.said.push(format!("note {text}"));
+    }
+}
+
+pub fn at(secs: f64) -> Moment {
+    Moment::from_us(1_000_000_000) + Span::secs(secs)
+}
+
+pub fn charter() -> Charter {
+    let product = |revenue| Product { sla: Span::secs(1.0), revenue, own_zone: false, writes: false };
+    Charter {
+        products: vec![product(1.0), product(3.0)],
+        list_on_request: false,
+        crossing_costs: false,
+        busy_by_probe: false,
+        admission: Admission::Share,
+        shuns_after: 0,
+        slices: 0,
+        single_writer: false,
+        lease: Span::secs(2.0),
+        settle: Span::secs(0.1),
+        report_every: Span::secs(1.0),
+        channel_rate: 1000.0,
+        message_head: 3.0,
+        most_waiting: 1000.0,
+        messages_most: 12,
+        messages_over: Span::secs(10.0),
+        way_most: Span::secs(0.3),
+        drain_grace: Span::secs(2.0),
+        cold_for: Span::secs(16.0),
+        only_drains_bind: false,
+    }
+}
+
+pub fn listing(id: &str, zone: u32, standing: Standing, started: Option<Moment>) -> Listing {
+    Listing { id: id.into(), zone, weight: 2.0, standing, started }
+}
+
+/// Rules that know `ids`, ready and long warm in zone 0, and whose proxies are bound.
+pub fn running(charter: Charter, ids: &[&str], proxies: u32) -> Rules<Recorder> {
+    let mut rules = Rules::open(Recorder::default(), charter, 7, at(0.0));
+    let listings: Vec<Listing> = ids.iter().map(|id| listing(id, 0, Standing::Ready, None)).collect();
+    rules.list_whole(at(0.0), &listings);
+    (0..proxies).for_each(|proxy| rules.proxy_joined(at(0.0), proxy, 0, 10.0, true));
+    rules.woke(at(0.2), 4);
+    rules.host().said.clear();
+    rules
+}
--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -185,3 +185,6 @@
         reply
     }
 }
+
+#[cfg(test)]
+mod tests;
