--- a/src/rules.rs
+++ b/src/rules.rs
@@ -132,14 +132,19 @@
     moving: Option<Moment>,
 }
 
-/// What came and what was answered over the last seconds, fading.
+/// What came and what was answered over the last seconds, fading, and what is made of it.
 #[derive(Default)]
-struct Flow {
+struct Pulse {
     asked: Vec<f64>,
     tries: f64,
     answered: f64,
     served: f64,
     over: Span,
+    busy: Histogram<2>,
+    middle: f64,
+    struggling: bool,
+    budget: Option<f64>,
+    shed: Moment,
 }
 
 pub struct Rules<H: Host> {
@@ -153,13 +158,8 @@
     usual: BTreeMap<u32, (u32, f64)>,
     slices: BTreeMap<u32, Slice>,
     levels: Vec<f64>,
-    flow: Flow,
-    middle: f64,
-    struggling: bool,
-    budget: Option<f64>,
-    shed: Moment,
+    pulse: Pulse,
     peak: f64,
-    busy: Histogram<2>,
     round: u64,
     waiting: (f64, Moment),
     gathered: Moment,
@@ -183,13 +183,8 @@
             usual: BTreeMap::new(),
             slices: BTreeMap::new(),
             levels: vec![1.0; products],
-            flow: Flow { asked: vec![0.0; products], ..Flow::default() },
-            middle: 0.0,
-            struggling: false,
-            budget: None,
-            shed: now,
+            pulse: Pulse { asked: vec![0.0; products], ..Pulse::default() },
             peak: 0.0,
-            busy: Histogram::default(),
             round: 0,
             waiting: (0.0, now),
             gathered: now,
@@ -280,9 +275,9 @@
     pub fn met(&mut self, now: Moment, id: &str, tries: f64, voided: f64, took: Span) {
         let Some(server) = self.servers.get_mut(id) else { return };
         let answered = (tries - voided).max(0.0);
-        self.flow.tries += tries;
-        self.flow.answered += answered;
-        self.flow.served += answered;
+        self.pulse.tries += tries;
+        self.pulse.answered += answered;
+        self.pulse.served += answered;
         if answered > 0.0 {
             server.heard = Some(now);
         }
@@ -295,7 +290,7 @@
     }
 
     pub fn asked(&mut self, product: u32, txns: f64) {
-        if let Some(asked) = self.flow.asked.get_mut(product as usize) {
+        if let Some(asked) = self.pulse.asked.get_mut(product as usize) {
             *asked += txns;
         }
     }
@@ -305,7 +300,7 @@
             server.heard = Some(now);
         }
         if let Some(busy) = busy {
-            self.busy.add(usize::from(busy >= FULL), 1.0);
+            self.pulse.busy.add(usize::from(busy >= FULL), 1.0);
         }
     }
 
@@ -316,7 +311,7 @@
             SUBSCRIBE => return self.host.follow_list(),
             HEARTBEAT => self.heartbeat_set = false,
             TURN => {
-                self.flow.over = self.flow.over + GATHER;
+                self.pulse.over = self.pulse.over + GATHER;
                 self.probe_some(now);
                 self.judge(now);
                 self.shed(now);
@@ -420,14 +415,14 @@
         // A fleet that shrank, or that turns tries away and sees them again, brings a cold server more than
         // its weight says: it is cut by as much, but never so far that the warm ones fall in its place.
         let crowded =
-            self.ready_weight() / self.peak.max(1e-9) * self.flow.answered / self.flow.tries.max(1.0);
+            self.ready_weight() / self.peak.max(1e-9) * self.pulse.answered / self.pulse.tries.max(1.0);
         let least = if cold > 0.0 { ((cold + warm) / WARM_BEARS - warm) / cold } else { 1.0 };
-        let cut = if self.flow.tries < ENOUGH { 1.0 } else { crowded.max(least).clamp(0.05, 1.0) };
+        let cut = if self.pulse.tries < ENOUGH { 1.0 } else { crowded.max(least).clamp(0.05, 1.0) };
         // Proxies that shun by themselves leave a failing fleet for whatever they have not tried yet, and no
         // weight is small enough: cold servers stay out while it struggles, or is full, or nothing is known.
         let full =
-            self.busy.mean_of([0.0, 1.0]).map_or(self.charter.busy_by_probe, |part| part > MOSTLY_FULL);
-        let stampede = self.charter.shuns_after > 0 && warm > 0.0 && (self.struggling || full);
+            self.pulse.busy.mean_of([0.0, 1.0]).map_or(self.charter.busy_by_probe, |part| part > MOSTLY_FULL);
+        let stampede = self.charter.shuns_after > 0 && warm > 0.0 && (self.pulse.struggling || full);
         let kept = parts.into_iter().filter(|p| p.warmth >= 1.0 || !stampede);
         let ease = |p: &Part| if p.warmth < 1.0 { p.warmth * cut } else { 1.0 };
         kept.map(|p| (p.id.clone(), (p.weight * ease(&p), p.warmth >= 1.0))).collect()
@@ -665,7 +660,7 @@
         let mut hurts: Vec<(f64, Id)> =
             known.map(|(id, s)| (s.tally.mean_of(HURT).unwrap_or(0.0), id.clone())).collect();
         hurts.sort_by(|a, b| b.0.total_cmp(&a.0));
-        self.middle = hurts.get(hurts.len() / 2).map_or(0.0, |h| h.0);
+        self.pulse.middle = hurts.get(hurts.len() / 2).map_or(0.0, |h| h.0);
         let mut held_back: f64 = self.ready().map(|(_, s)| s.weight * (1.0 - RUNGS[s.rung])).sum();
         let most = self.ready_weight() * MOST_HELD_BACK;
         for (hurt, id) in hurts.iter().filter(|h| h.0 > par + STANDS_OUT) {
@@ -691,36 +686,35 @@
 
     fn fade(&mut self) {
         self.servers.values_mut().for_each(|s| s.tally.halve());
-        self.busy.halve();
-        let flow = &mut self.flow;
-        flow.asked.iter_mut().for_each(|asked| *asked /= 2.0);
-        (flow.tries, flow.answered) = (flow.tries / 4.0, flow.answered / 4.0);
-        (flow.served, flow.over) = (flow.served / 2.0, flow.over * 0.5);
+        self.pulse.busy.halve();
+        let pulse = &mut self.pulse;
+        pulse.asked.iter_mut().for_each(|asked| *asked /= 2.0);
+        (pulse.tries, pulse.answered) = (pulse.tries / 4.0, pulse.answered / 4.0);
+        (pulse.served, pulse.over) = (pulse.served / 2.0, pulse.over * 0.5);
     }
 
     /// When most of the fleet hurts at once no table helps: no more is let in than it answers, products of
     /// most revenue first, and the rest let back step by step. It harms if the reports lie, so nothing falls
     /// under a floor.
     fn shed(&mut self, now: Moment) {
-        let (over, flow) = (self.flow.over.as_secs().max(0.1), &self.flow);
-        let answers = if flow.tries < ENOUGH { 1.0 } else { flow.answered / flow.tries };
-        let hurting = answers < SHED_AT || self.middle > HURTING.0;
-        self.struggling = hurting
-            || answers < ANSWERS.0
-            || self.struggling && (answers < ANSWERS.1 || self.middle > HURTING.1);
-        if hurting && now - self.shed >= REPORT_LAG + self.charter.report_every {
-            self.budget = Some(flow.served / over * SAFE_SHARE);
-            self.shed = now;
-        } else if !self.struggling {
-            let asked = flow.asked.iter().sum::<f64>() / over;
-            self.budget = self.budget.map(|budget| budget * RELIEF).filter(|budget| *budget < asked * 1.2);
-        }
-        let mut left = self.budget.unwrap_or(f64::INFINITY);
+        let pulse = &mut self.pulse;
+        let over = pulse.over.as_secs().max(0.1);
+        let answers = if pulse.tries < ENOUGH { 1.0 } else { pulse.answered / pulse.tries };
+        let hurting = answers < SHED_AT || pulse.middle > HURTING.0;
+        let uneasy = answers < ANSWERS.1 || pulse.middle > HURTING.1;
+        pulse.struggling = hurting || answers < ANSWERS.0 || pulse.struggling && uneasy;
+        if hurting && now - pulse.shed >= REPORT_LAG + self.charter.report_every {
+            (pulse.budget, pulse.shed) = (Some(pulse.served / over * SAFE_SHARE), now);
+        } else if !pulse.struggling {
+            let asked = pulse.asked.iter().sum::<f64>() / over;
+            pulse.budget = pulse.budget.map(|budget| budget * RELIEF).filter(|budget| *budget < asked * 1.2);
+        }
+        let mut left = pulse.budget.unwrap_or(f64::INFINITY);
+        let revenue = |k: &usize| self.charter.products[*k].revenue;
         let mut order: Vec<usize> = (0..self.levels.len()).collect();
-        let revenue = |k: usize| self.charter.products[k].revenue;
-        order.sort_by(|a, b| revenue(*b).total_cmp(&revenue(*a)));
+        order.sort_by(|a, b| revenue(b).total_cmp(&revenue(a)));
         for k in order {
-            let asked = (flow.asked[k] / over).max(1e-9);
+            let asked = (pulse.asked[k] / over).max(1e-9);
             let level = (left / asked).clamp(LEVEL_FLOOR, 1.0);
             left = (left - level * asked).max(0.0);
             if (level - self.levels[k]).abs() > LEVEL_STEP || level >= 1.0 {
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -113,7 +113,7 @@
 #[test]
 fn a_fleet_that_turns_tries_away_cuts_its_cold_lines() {
     let mut rules = running(charter(), &["a", "b", "c", "d", "e"], 1);
-    (rules.flow.tries, rules.flow.answered) = (100.0, 50.0);
+    (rules.pulse.tries, rules.pulse.answered) = (100.0, 50.0);
     rules.list_changed(at(2.0), &[listing("f", 0, Ready, Some(at(2.0)))]);
     assert!(rules.host.weight(0, "f").unwrap() <= 0.1 + 1e-9);
 }
@@ -121,7 +121,7 @@
 #[test]
 fn no_cold_server_joins_a_struggling_fleet_whose_proxies_shun() {
     let mut rules = running(Charter { shuns_after: 3, ..charter() }, &["a", "b"], 1);
-    rules.struggling = true;
+    rules.pulse.struggling = true;
     rules.list_changed(at(2.0), &[listing("c", 0, Ready, Some(at(2.0)))]);
     assert_eq!(rules.host.count("line"), 0);
 }
@@ -129,7 +129,7 @@
 #[test]
 fn cold_servers_are_all_there_is_when_all_are_cold() {
     let mut rules = running(Charter { shuns_after: 3, ..charter() }, &[], 1);
-    rules.struggling = true;
+    rules.pulse.struggling = true;
     rules.list_changed(at(2.0), &[listing("c", 0, Ready, Some(at(2.0)))]);
     assert!(rules.host.weight(0, "c").is_some());
 }
@@ -294,8 +294,14 @@
 #[test]
 fn overload_lets_in_what_is_answered_and_the_dearest_first() {
     let mut rules = running(charter(), &["a"], 1);
-    rules.flow =
-        Flow { asked: vec![100.0, 50.0], tries: 150.0, answered: 60.0, served: 60.0, over: Span::secs(1.0) };
+    rules.pulse = Pulse {
+        asked: vec![100.0, 50.0],
+        tries: 150.0,
+        answered: 60.0,
+        served: 60.0,
+        over: Span::secs(1.0),
+        ..Pulse::default()
+    };
     rules.shed(at(9.0));
     assert!(rules.levels[0] <= LEVEL_FLOOR && rules.levels[1] == 1.0);
 }
@@ -303,11 +309,10 @@
 #[test]
 fn levels_come_back_once_the_fleet_is_well() {
     let mut rules = running(charter(), &["a"], 1);
-    rules.budget = Some(100.0);
-    rules.flow =
-        Flow { asked: vec![100.0, 50.0], tries: 90.0, answered: 90.0, served: 90.0, over: Span::secs(1.0) };
+    let (asked, budget, over) = (vec![100.0, 50.0], Some(100.0), Span::secs(1.0));
+    rules.pulse = Pulse { asked, budget, over, tries: 90.0, answered: 90.0, ..Pulse::default() };
     rules.shed(at(9.0));
-    assert!(rules.budget.unwrap() > 100.0);
+    assert!(rules.pulse.budget.unwrap() > 100.0);
 }
 
 #[test]
@@ -321,7 +326,7 @@
 fn reports_for_servers_never_listed_are_passed_over() {
     let mut rules = running(charter(), &["a"], 1);
     rules.met(at(1.0), "nobody", 5.0, 5.0, Span::ZERO);
-    assert_eq!(rules.flow.tries, 0.0);
+    assert_eq!(rules.pulse.tries, 0.0);
 }
 
 #[test]
