--- a/src/rules.rs
+++ b/src/rules.rs
@@ -422,8 +422,8 @@
         // weight is small enough: cold servers stay out while it struggles, or is full, or nothing is known.
         let full =
             self.pulse.busy.mean_of([0.0, 1.0]).map_or(self.charter.busy_by_probe, |part| part > MOSTLY_FULL);
-        let stampede = self.charter.shuns_after > 0 && warm > 0.0 && (self.pulse.struggling || full);
-        let kept = parts.into_iter().filter(|p| p.warmth >= 1.0 || !stampede);
+        let stampede = self.charter.shuns_after > 0 && warm > 0.0 && self.pulse.struggling;
+        let kept = parts.into_iter().filter(|p| p.warmth >= 0.35 || !stampede);
         let ease = |p: &Part| if p.warmth < 1.0 { p.warmth * cut } else { 1.0 };
         kept.map(|p| (p.id.clone(), (p.weight * ease(&p), p.warmth >= 1.0))).collect()
     }
