--- a/src/charter.rs
+++ b/src/charter.rs
@@ -26,8 +26,6 @@
     pub list_on_request: bool,
     /// Txns that cross zones take something off the result.
     pub crossing_costs: bool,
-    /// Only a probe's answer tells how busy a server is.
-    pub busy_by_probe: bool,
     pub admission: Admission,
     /// A proxy turns from a server by itself after so many failures in a row; 0: never.
     pub shuns_after: u32,
--- a/src/host.rs
+++ b/src/host.rs
@@ -50,7 +50,6 @@
     fn level(&mut self, tbl: u32, products: Products, admitted: f64, retry: Retry);
     /// Subscribes to the list.
     fn follow_list(&mut self);
-    fn probe(&mut self, server: &Id);
     fn wake(&mut self, after: Span, label: u64);
     fn note(&mut self, text: fmt::Arguments<'_>);
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -33,6 +33,8 @@
 const STEP: f64 = 1.25;
 /// How much more a table's warm servers may get so that its cold ones get less.
 const WARM_BEARS: f64 = 1.25;
+/// Under this part of its weight a new server stays out of a struggling fleet whose proxies shun.
+const YOUNG: f64 = 0.35;
 
 /// Where crossing zones costs: the most that stays at home, and how far off the rest may stand.
 const STAY: f64 = 0.9;
@@ -72,10 +74,6 @@
 const RELIEF: f64 = 1.08;
 const LEVEL_FLOOR: f64 = 0.1;
 const LEVEL_STEP: f64 = 0.05;
-/// Probes: one server in so many a turn; the busy share that counts as full, and when the fleet is.
-const PROBE_ONE_IN: u64 = 2;
-const FULL: f64 = 0.9;
-const MOSTLY_FULL: f64 = 0.6;
 
 struct Server {
     zone: u32,
@@ -140,7 +138,6 @@
     answered: f64,
     served: f64,
     over: Span,
-    busy: Histogram<2>,
     middle: f64,
     struggling: bool,
     budget: Option<f64>,
@@ -160,7 +157,6 @@
     levels: Vec<f64>,
     pulse: Pulse,
     peak: f64,
-    round: u64,
     waiting: (f64, Moment),
     gathered: Moment,
     heartbeat_set: bool,
@@ -185,7 +181,6 @@
             levels: vec![1.0; products],
             pulse: Pulse { asked: vec![0.0; products], ..Pulse::default() },
             peak: 0.0,
-            round: 0,
             waiting: (0.0, now),
             gathered: now,
             heartbeat_set: false,
@@ -295,15 +290,6 @@
         }
     }
 
-    pub fn probed(&mut self, now: Moment, id: &str, answered: bool, busy: Option<f64>) {
-        if let Some(server) = self.servers.get_mut(id).filter(|_| answered) {
-            server.heard = Some(now);
-        }
-        if let Some(busy) = busy {
-            self.pulse.busy.add(usize::from(busy >= FULL), 1.0);
-        }
-    }
-
     // ---- time ----
 
     pub fn woke(&mut self, now: Moment, label: u64) {
@@ -312,7 +298,6 @@
             HEARTBEAT => self.heartbeat_set = false,
             TURN => {
                 self.pulse.over = self.pulse.over + GATHER;
-                self.probe_some(now);
                 self.judge(now);
                 self.shed(now);
                 self.fade();
@@ -419,11 +404,9 @@
         let least = if cold > 0.0 { ((cold + warm) / WARM_BEARS - warm) / cold } else { 1.0 };
         let cut = if self.pulse.tries < ENOUGH { 1.0 } else { crowded.max(least).clamp(0.05, 1.0) };
         // Proxies that shun by themselves leave a failing fleet for whatever they have not tried yet, and no
-        // weight is small enough: cold servers stay out while it struggles, or is full, or nothing is known.
-        let full =
-            self.pulse.busy.mean_of([0.0, 1.0]).map_or(self.charter.busy_by_probe, |part| part > MOSTLY_FULL);
-        let stampede = self.charter.shuns_after > 0 && warm > 0.0 && self.pulse.struggling;
-        let kept = parts.into_iter().filter(|p| p.warmth >= 0.35 || !stampede);
+        // weight is small enough: while it struggles the youngest stay out. It harms by keeping capacity away.
+        let rush = self.charter.shuns_after > 0 && warm > 0.0 && self.pulse.struggling;
+        let kept = parts.into_iter().filter(|p| p.warmth >= YOUNG || !rush);
         let ease = |p: &Part| if p.warmth < 1.0 { p.warmth * cut } else { 1.0 };
         kept.map(|p| (p.id.clone(), (p.weight * ease(&p), p.warmth >= 1.0))).collect()
     }
@@ -495,10 +478,6 @@
         }
     }
 
-    fn used(&self, number: u32) -> bool {
-        self.proxies.values().any(|p| p.bound.contains(&number))
-    }
-
     /// Rule 3: what drains or is gone, and is not out yet.
     fn leaving(&self) -> Vec<Id> {
         let held = |id: &Id| self.tbls.values().any(|t| t.carried.is_some() && t.lines.contains_key(id));
@@ -555,6 +534,10 @@
 
     // ---- binds ----
 
+    fn used(&self, number: u32) -> bool {
+        self.proxies.values().any(|p| p.bound.contains(&number))
+    }
+
     fn usable(&self, number: u32) -> bool {
         let ready = |id: &Id| self.servers.get(id).is_some_and(Server::ready);
         self.tbls.get(&number).is_some_and(|t| t.lines.keys().any(ready))
@@ -635,20 +618,6 @@
 
     // ---- health ----
 
-    /// Reports come seconds late, too late for a cold server among proxies that shun: while one is eased in,
-    /// part of the fleet is asked how busy it is.
-    fn probe_some(&mut self, now: Moment) {
-        self.round += 1;
-        if self.charter.shuns_after == 0 || !self.charter.busy_by_probe {
-            return;
-        }
-        let parts = self.parts(now);
-        let some =
-            parts.iter().enumerate().filter(|(k, _)| (*k as u64 + self.round).is_multiple_of(PROBE_ONE_IN));
-        let cold = parts.iter().any(|p| p.warmth < 1.0);
-        some.filter(|_| cold).for_each(|(_, p)| self.host.probe(&p.id));
-    }
-
     /// A server that hurts more than its peers goes down a rung, whatever the cause: slow, failing, hung, cut
     /// off, or listed at more than it can do. It harms where its peers can't carry its part, so only a part of
     /// the fleet is held back; each rung is let go by itself after a rest, longer with each strike.
@@ -686,7 +655,6 @@
 
     fn fade(&mut self) {
         self.servers.values_mut().for_each(|s| s.tally.halve());
-        self.pulse.busy.halve();
         let pulse = &mut self.pulse;
         pulse.asked.iter_mut().for_each(|asked| *asked /= 2.0);
         (pulse.tries, pulse.answered) = (pulse.tries / 4.0, pulse.answered / 4.0);
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -119,7 +119,7 @@
 }
 
 #[test]
-fn no_cold_server_joins_a_struggling_fleet_whose_proxies_shun() {
+fn no_young_server_joins_a_struggling_fleet_whose_proxies_shun() {
     let mut rules = running(Charter { shuns_after: 3, ..charter() }, &["a", "b"], 1);
     rules.pulse.struggling = true;
     rules.list_changed(at(2.0), &[listing("c", 0, Ready, Some(at(2.0)))]);
@@ -134,14 +134,6 @@
     assert!(rules.host.weight(0, "c").is_some());
 }
 
-#[test]
-fn the_fleet_is_asked_how_busy_it_is_only_while_one_is_eased_in() {
-    let mut rules = running(Charter { shuns_after: 3, busy_by_probe: true, ..charter() }, &["a", "b"], 1);
-    rules.servers.get_mut("a").unwrap().started = Some(at(1.0));
-    rules.probe_some(at(2.0));
-    assert_eq!(rules.host.count("probe"), 1);
-}
-
 #[test]
 fn home_keeps_most_where_crossing_costs() {
     let mut rules = running(Charter { crossing_costs: true, ..charter() }, &["a"], 1);
--- a/src/testing.rs
+++ b/src/testing.rs
@@ -38,9 +38,6 @@
     fn follow_list(&mut self) {
         self.said.push("follow".into());
     }
-    fn probe(&mut self, server: &Id) {
-        self.said.push(format!("probe {server}"));
-    }
     fn wake(&mut self, after: Span, label: u64) {
         self.said.push(format!("wake {label} {}", after.as_us()));
     }
@@ -59,7 +56,6 @@
         products: vec![product(1.0), product(3.0)],
         list_on_request: false,
         crossing_costs: false,
-        busy_by_probe: false,
         admission: Admission::Share,
         shuns_after: 0,
         slices: 0,
--- a/wirehost/src/decode.rs
+++ b/wirehost/src/decode.rs
@@ -55,11 +55,6 @@
         self.get(name, "a text", Value::as_str)
     }
 
-    /// One value of a load report, where one came along and holds it.
-    pub fn load(&self, name: &str) -> Option<f64> {
-        self.map.get("telemetry").and_then(|report| report.get(name)).and_then(Value::as_f64)
-    }
-
     /// False marks are left out on the wire.
     pub fn mark(&self, name: &str) -> bool {
         self.map.get(name).and_then(Value::as_bool).unwrap_or(false)
@@ -119,7 +114,7 @@
         self.num().clamp(0.0, f64::from(u32::MAX)) as u32
     }
 
-    pub fn yes(self) -> bool {
+    fn yes(self) -> bool {
         self.0.and_then(Value::as_bool).unwrap_or(false)
     }
 
@@ -141,9 +136,6 @@
         products: env.at("classes").rows().take(64).enumerate().map(product).collect(),
         list_on_request: env.at("discovery").word() == "ask",
         crossing_costs: env.at("charges").at("crossZone").num() > 0.0,
-        busy_by_probe: env.at("bounds").at("probes").yes()
-            && env.at("reporting").at("how").word() == "probe"
-            && env.at("reporting").at("names").rows().any(|name| name.word() == "util"),
         admission: match info.at("throttleBy").word() {
             "fraction" => Admission::Share,
             "per_second" => Admission::PerSecond,
--- a/wirehost/src/desk.rs
+++ b/wirehost/src/desk.rs
@@ -10,7 +10,6 @@
 
 pub struct Desk {
     who: u64,
-    probes: bool,
     slices: bool,
     known: BTreeSet<Id>,
     joined: BTreeSet<u32>,
@@ -22,15 +21,7 @@
     pub fn new(who: u64, env: &Figures) -> Self {
         let slices = env.at("familyInfo").at("slices").count() > 0;
         let (known, joined, charges) = (BTreeSet::new(), BTreeSet::new(), BTreeSet::new());
-        Desk {
-            who,
-            probes: env.at("bounds").at("probes").yes(),
-            slices,
-            known,
-            joined,
-            charges,
-            said: vec![],
-        }
+        Desk { who, slices, known, joined, charges, said: vec![] }
     }
 
     pub fn learn<'a>(&mut self, ids: impl Iterator<Item = &'a Id>) {
@@ -113,13 +104,6 @@
         self.say("FOLLOW", json!({"set": true}));
     }
 
-    fn probe(&mut self, server: &Id) {
-        if !self.probes || !self.known.contains(server) {
-            return self.refuse("probe", format_args!("server {server}"));
-        }
-        self.say("SOUND_OUT", json!({"server": &**server}));
-    }
-
     fn wake(&mut self, after: Span, label: u64) {
         let longest = 70 * 60 * 1_000_000;
         self.say("TIMER", json!({"afterUs": after.as_us().clamp(1, longest), "label": label}));
--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -127,11 +127,6 @@
                 let (product, txns) = (f.small("class")?, f.count("triesN")?);
                 Box::new(move |rules| rules.asked(product, txns))
             }
-            "STATUS_BACK" => {
-                let (id, code) = (f.text("server")?, f.text("code")?);
-                let busy = f.load("util");
-                Box::new(move |rules| rules.probed(now, id, code == "ok", busy))
-            }
             "BELL" => {
                 let label = f.whole("label")?;
                 Box::new(move |rules| rules.woke(now, label))
@@ -155,8 +150,8 @@
                     rules.slice_line(slice, &id, weight)
                 })
             }
-            // Nothing is decided by these: demand by slice, applied marks and peers' words.
-            "KEY_LOAD" | "IN_FORCE" | "INBOX" => return Ok(()),
+            // Nothing is decided by these: probes, demand by slice, applied marks and peers' words.
+            "STATUS_BACK" | "KEY_LOAD" | "IN_FORCE" | "INBOX" => return Ok(()),
             kind => return Err(format!("message {kind} is unknown")),
         };
         self.guarded(who, |hosted| {
--- a/wirehost/src/tests.rs
+++ b/wirehost/src/tests.rs
@@ -95,7 +95,6 @@
     desk.line(0, &"nobody:1".into(), 1.0);
     desk.line(0, &"a:1".into(), -1.0);
     desk.line(65_535, &"a:1".into(), 1.0);
-    desk.probe(&"a:1".into());
     assert!(desk.said.is_empty());
 }
 
