--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,5 +1,5 @@
 //! All decisions of a supervisor, its tables and its tuned values. The host calls one method for each thing
-//! that happens (`list_changed`, `proxy_joined`, `met`, `woke` ...) with the present moment, and the rules act
+//! that happens (`list_changed`, `proxy_joined`, `met`, `woke` ...) with the present moment; the rules act
 //! at once through the `Host` handed to them by `open`: that interface is `host.rs`, what is read at start is
 //! `charter.rs`. Calls never nest, and a moment's orders travel together.
 //!
@@ -30,6 +30,8 @@
 
 /// New servers start at `RAMP_FROM` of their weight; a warming line is sent when it is off by `STEP`.
 const RAMP_FROM: f64 = 0.1;
+/// A storm finds a cold server with any spare it was given: the ramp stays under an even warm-up.
+const RAMP_BEND: f64 = 1.3;
 const STEP: f64 = 1.25;
 /// How much more a table's warm servers may get so that its cold ones get less.
 const WARM_BEARS: f64 = 1.25;
@@ -98,10 +100,9 @@
     }
 }
 
+#[derive(Default)]
 struct Tbl {
-    /// The zone whose proxies use it; nothing where all do.
     home: Option<u32>,
-    /// Holds servers of its zone only.
     stays: bool,
     products: Products,
     lines: BTreeMap<Id, f64>,
@@ -125,6 +126,7 @@
     sent: VecDeque<Moment>,
 }
 
+#[derive(Default)]
 struct Slice {
     lines: BTreeMap<Id, f64>,
     moving: Option<Moment>,
@@ -191,8 +193,6 @@
         &mut self.host
     }
 
-    // ---- the list ----
-
     pub fn list_whole(&mut self, now: Moment, listings: &[Listing]) {
         let listed: BTreeSet<&Id> = listings.iter().map(|l| &l.id).collect();
         let dropped = self.servers.iter_mut().filter(|(id, _)| !listed.contains(id));
@@ -240,8 +240,6 @@
         self.ready().map(|(_, s)| s.weight).sum()
     }
 
-    // ---- proxies ----
-
     pub fn proxy_joined(&mut self, now: Moment, proxy: u32, zone: u32, rate: f64, fresh: bool) {
         let known = self.usual.insert(proxy, (zone, rate)).is_some();
         let (bound, sent) = (BTreeSet::new(), VecDeque::new());
@@ -265,8 +263,6 @@
         self.proxies.remove(&proxy);
     }
 
-    // ---- what is met, asked for and probed ----
-
     pub fn met(&mut self, now: Moment, id: &str, tries: f64, voided: f64, took: Span) {
         let Some(server) = self.servers.get_mut(id) else { return };
         let answered = (tries - voided).max(0.0);
@@ -290,8 +286,6 @@
         }
     }
 
-    // ---- time ----
-
     pub fn woke(&mut self, now: Moment, label: u64) {
         match label {
             SUBSCRIBE => return self.host.follow_list(),
@@ -327,8 +321,7 @@
             let rows = self.charter.products.iter().enumerate().filter(|(_, p)| p.own_zone == stays);
             let products = rows.fold(0, |set, (k, _)| set | 1 << k);
             if products != 0 && self.charter.slices == 0 {
-                let (lines, levels) = (BTreeMap::new(), BTreeMap::new());
-                let tbl = Tbl { home, stays, products, lines, afar: 1.0, carried: None, levels };
+                let tbl = Tbl { home, stays, products, afar: 1.0, ..Tbl::default() };
                 self.tbls.entry(number).or_insert(tbl);
             }
         }
@@ -341,7 +334,8 @@
         if age >= self.charter.cold_for {
             return 1.0;
         }
-        RAMP_FROM + (1.0 - RAMP_FROM) * (age.as_secs() / self.charter.cold_for.as_secs()).max(0.0)
+        RAMP_FROM
+            + (1.0 - RAMP_FROM) * (age.as_secs() / self.charter.cold_for.as_secs()).max(0.0).powf(RAMP_BEND)
     }
 
     fn parts(&self, now: Moment) -> Vec<Part> {
@@ -399,12 +393,11 @@
         let (cold, warm) = (sum(false), sum(true));
         // A fleet that shrank, or that turns tries away and sees them again, brings a cold server more than
         // its weight says: it is cut by as much, but never so far that the warm ones fall in its place.
-        let crowded =
-            self.ready_weight() / self.peak.max(1e-9) * self.pulse.answered / self.pulse.tries.max(1.0);
-        let least = if cold > 0.0 { ((cold + warm) / WARM_BEARS - warm) / cold } else { 1.0 };
-        let cut = if self.pulse.tries < ENOUGH { 1.0 } else { crowded.max(least).clamp(0.05, 1.0) };
+        let answers = self.pulse.answered.max(1.0) / self.pulse.tries.max(1.0);
+        let crowded = (self.ready_weight() / self.peak.max(1e-9) * answers).clamp(0.05, 1.0);
+        let cut = crowded.max(((cold + warm) / WARM_BEARS - warm) / cold.max(1e-9)).min(1.0);
         // Proxies that shun by themselves leave a failing fleet for whatever they have not tried yet, and no
-        // weight is small enough: while it struggles the youngest stay out. It harms by keeping capacity away.
+        // weight is small enough: while it struggles the youngest stay out. It harms by holding them back.
         let rush = self.charter.shuns_after > 0 && warm > 0.0 && self.pulse.struggling;
         let kept = parts.into_iter().filter(|p| p.warmth >= YOUNG || !rush);
         let ease = |p: &Part| if p.warmth < 1.0 { p.warmth * cut } else { 1.0 };
@@ -424,10 +417,10 @@
         let mut changes: Vec<(Id, f64)> = left.map(|id| (id.clone(), 0.0)).collect();
         let mut urgent = !changes.is_empty() || tbl.lines.is_empty();
         for (id, (weight, warm)) in wanted {
-            let off =
-                tbl.lines.get(&id).map_or(f64::INFINITY, |stands| (stands / weight).max(weight / stands));
+            let ratio = tbl.lines.get(&id).map_or(0.0, |stands| stands / weight);
+            let off = ratio.max(1.0 / ratio);
             if off > STEP || warm && off > 1.001 {
-                urgent |= !warm && tbl.lines.get(&id).is_some_and(|stands| *stands > 2.0 * weight);
+                urgent |= !warm && ratio > 2.0;
                 changes.push((id, weight));
             }
         }
@@ -532,8 +525,6 @@
         }
     }
 
-    // ---- binds ----
-
     fn used(&self, number: u32) -> bool {
         self.proxies.values().any(|p| p.bound.contains(&number))
     }
@@ -571,8 +562,6 @@
         }
     }
 
-    // ---- rule 5 ----
-
     fn waiting(&self, now: Moment) -> f64 {
         let drained = (now - self.waiting.1).as_secs() * self.charter.channel_rate * PACE_TRUSTED;
         (self.waiting.0 - drained).max(0.0)
@@ -616,10 +605,8 @@
         proxies.into_iter().filter(|_| lines > 0).for_each(|proxy| self.message(now, proxy, lines));
     }
 
-    // ---- health ----
-
     /// A server that hurts more than its peers goes down a rung, whatever the cause: slow, failing, hung, cut
-    /// off, or listed at more than it can do. It harms where its peers can't carry its part, so only a part of
+    /// off, or listed at more than it can do. It harms where its peers can't carry its part, so only some of
     /// the fleet is held back; each rung is let go by itself after a rest, longer with each strike.
     fn judge(&mut self, now: Moment) {
         let mut fleet = Histogram::<5>::default();
@@ -691,10 +678,8 @@
         }
     }
 
-    // ---- slices ----
-
     pub fn slice_given(&mut self, slice: u32) {
-        self.slices.insert(slice, Slice { lines: BTreeMap::new(), moving: None });
+        self.slices.insert(slice, Slice::default());
     }
 
     pub fn slice_line(&mut self, slice: u32, id: &Id, weight: f64) {
