--- a/src/rules.rs
+++ b/src/rules.rs
@@ -34,7 +34,7 @@
 const RAMP_BEND: f64 = 1.3;
 const STEP: f64 = 1.25;
 /// How much more a table's warm servers may get so that its cold ones get less.
-const WARM_BEARS: f64 = 1.25;
+const WARM_BEARS: f64 = 2.0;
 /// Under this part of its weight a new server stays out of a struggling fleet whose proxies shun.
 const YOUNG: f64 = 0.35;
 
