--- a/src/host.rs
+++ b/src/host.rs
@@ -1,7 +1,6 @@
 //! The small interface through which the rules act, whatever protocol carries their orders.
 
 use crate::time::{Moment, Span};
-use std::fmt;
 use std::rc::Rc;
 
 /// A server's id, as the outside gives it.
@@ -51,5 +50,4 @@
     /// Subscribes to the list.
     fn follow_list(&mut self);
     fn wake(&mut self, after: Span, label: u64);
-    fn note(&mut self, text: fmt::Arguments<'_>);
 }
--- a/src/testing.rs
+++ b/src/testing.rs
@@ -4,7 +4,6 @@
 use crate::host::{Host, Id, Listing, Products, Retry, Standing};
 use crate::rules::Rules;
 use crate::time::{Moment, Span};
-use std::fmt;
 
 #[derive(Default)]
 pub struct Recorder {
@@ -41,9 +40,6 @@
     fn wake(&mut self, after: Span, label: u64) {
         self.said.push(format!("wake {label} {}", after.as_us()));
     }
-    fn note(&mut self, text: fmt::Arguments<'_>) {
-        self.said.push(format!("note {text}"));
-    }
 }
 
 pub fn at(secs: f64) -> Moment {
--- a/wirehost/src/desk.rs
+++ b/wirehost/src/desk.rs
@@ -108,8 +108,4 @@
         let longest = 70 * 60 * 1_000_000;
         self.say("TIMER", json!({"afterUs": after.as_us().clamp(1, longest), "label": label}));
     }
-
-    fn note(&mut self, text: fmt::Arguments<'_>) {
-        self.say("REMARK", json!({"msg": text.to_string()}));
-    }
 }
