--- a/src/rules.rs
+++ b/src/rules.rs
@@ -9,7 +9,7 @@
 //! `warmth` and `eased`, rule 5 `room`.
 
 use crate::chance::Chance;
-use crate::charter::{Admission, Charter};
+use crate::charter::{Admission, Charter, Product};
 use crate::histogram::Histogram;
 use crate::host::{Host, Id, Listing, Products, Retry, Standing};
 use crate::time::{Moment, Span};
@@ -316,10 +316,14 @@
         self.numbers(zone).iter().map(|t| t.0).filter(|number| self.tbls.contains_key(number)).collect()
     }
 
+    fn products(&self, which: impl Fn(&Product) -> bool) -> Products {
+        let rows = self.charter.products.iter().enumerate().filter(|(_, p)| which(p));
+        rows.fold(0, |set, (k, _)| set | 1 << k)
+    }
+
     fn lay_tbls(&mut self, zone: u32) {
         for (number, home, stays) in self.numbers(zone) {
-            let rows = self.charter.products.iter().enumerate().filter(|(_, p)| p.own_zone == stays);
-            let products = rows.fold(0, |set, (k, _)| set | 1 << k);
+            let products = self.products(|p| p.own_zone == stays);
             if products != 0 && self.charter.slices == 0 {
                 let tbl = Tbl { home, stays, products, afar: 1.0, ..Tbl::default() };
                 self.tbls.entry(number).or_insert(tbl);
@@ -701,8 +705,7 @@
             self.host.withdraw(id, false);
         }
         let usable = self.eased(self.parts(now));
-        let rows = self.charter.products.iter().enumerate().filter(|(_, p)| p.writes);
-        let writes = rows.fold(0, |set, (k, _)| set | 1 << k);
+        let writes = self.products(|p| p.writes);
         let in_hand = self.charter.way_most + self.charter.lease + self.charter.settle;
         let whole: f64 = usable.values().map(|u| u.0).sum();
         for (&number, slice) in self.slices.iter_mut() {
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -4,6 +4,13 @@
 use crate::testing::{at, charter, listing, running};
 use Standing::{Draining, Gone, Ready};
 
+/// A charter whose second product must stay in the proxy's zone.
+fn second_stays() -> Charter {
+    let mut charter = charter();
+    charter.products[1].own_zone = true;
+    charter
+}
+
 fn said(rules: &mut Rules<crate::testing::Recorder>) -> String {
     rules.host().said.join("\n")
 }
@@ -152,9 +159,7 @@
 
 #[test]
 fn products_that_stay_get_a_table_of_their_zone() {
-    let mut charter = charter();
-    charter.products[1].own_zone = true;
-    let mut rules = running(charter, &["a"], 1);
+    let mut rules = running(second_stays(), &["a"], 1);
     rules.list_changed(at(2.0), &[listing("b", 1, Ready, None)]);
     assert_eq!((rules.host.weight(0, "b"), rules.host.weight(3, "b")), (Some(2.0), None));
 }
@@ -168,9 +173,7 @@
 
 #[test]
 fn a_first_join_gets_its_best_tables_once_the_budget_is_spent() {
-    let mut charter = charter();
-    charter.products[1].own_zone = true;
-    let mut rules = running(charter, &["a"], 0);
+    let mut rules = running(second_stays(), &["a"], 0);
     rules.proxy_joined(at(1.0), 4, 9, 10.0, true);
     rules.woke(at(6.5), HEARTBEAT);
     assert_eq!(rules.host.count("bind 4 0 1"), 1);
@@ -178,9 +181,7 @@
 
 #[test]
 fn a_proxy_served_before_gets_no_partial_tables() {
-    let mut charter = charter();
-    charter.products[1].own_zone = true;
-    let mut rules = running(charter, &["a"], 0);
+    let mut rules = running(second_stays(), &["a"], 0);
     rules.proxy_joined(at(1.0), 4, 9, 10.0, false);
     rules.woke(at(6.5), HEARTBEAT);
     assert_eq!(rules.host.count("bind"), 0);
@@ -188,9 +189,7 @@
 
 #[test]
 fn held_binds_are_tried_again_on_a_jittered_heartbeat() {
-    let mut charter = charter();
-    charter.products[1].own_zone = true;
-    let mut rules = running(charter, &["a"], 0);
+    let mut rules = running(second_stays(), &["a"], 0);
     rules.proxy_joined(at(1.0), 4, 9, 10.0, true);
     rules.bind_waiting(at(1.2));
     assert_eq!(rules.host.count("wake 2 "), 1);
