--- a/src/charter.rs
+++ b/src/charter.rs
@@ -36,6 +36,8 @@
     pub lease: Span,
     pub settle: Span,
     pub report_every: Span,
+    /// Proxies in all, whichever supervisor they are joined to.
+    pub proxies: u32,
     pub channel_rate: f64,
     pub message_head: f64,
     pub most_waiting: f64,
--- a/src/host.rs
+++ b/src/host.rs
@@ -47,6 +47,8 @@
     fn withdraw(&mut self, server: &Id, out: bool);
     /// What part of some products a table lets in, and when its proxies try again.
     fn level(&mut self, tbl: u32, products: Products, admitted: f64, retry: Retry);
+    /// Asks each proxy that this moment's orders reach to tell when they have come.
+    fn mark(&mut self, number: u32);
     /// Subscribes to the list.
     fn follow_list(&mut self);
     fn wake(&mut self, after: Span, label: u64);
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -19,6 +19,7 @@
 const HEARTBEAT: u64 = 2;
 const SUBSCRIBE: u64 = 3;
 const AGAIN: u64 = 4;
+const CARRIED: u64 = 5;
 
 /// The design's open values: the gathering of changes, the heartbeat, the budget of a first join.
 const GATHER: Span = Span::from_us(1_000_000);
@@ -26,7 +27,7 @@
 const JOIN_BUDGET: Span = Span::from_us(5_000_000);
 const JOINS_GATHERED: Span = Span::from_us(150_000);
 const SUBSCRIBE_AGAIN: Span = Span::from_us(700_000);
-const URGENT_AGAIN: Span = Span::from_us(150_000);
+const ROOM_AGAIN: Span = Span::from_us(50_000);
 
 /// New servers start at `RAMP_FROM` of their weight; a warming line is sent when it is off by `STEP`.
 const RAMP_FROM: f64 = 0.1;
@@ -46,13 +47,19 @@
 /// server turns away came back at the next one, and a zone that had just become full drowned in it.
 const RETRY: Retry = Retry::Never;
 
-/// Parts of the waiting lines and messages that ordinary changes may use; messages kept back for drains; the
-/// part of its stated pace that a channel is trusted with, for it may be slower and nobody says so.
-const ORDINARY_LINES: f64 = 0.4;
-const URGENT_LINES: f64 = 0.95;
+/// Parts of the waiting lines and messages that may be used, in all and by what can wait; messages kept back
+/// for drains; the part of its stated pace that a channel is trusted with until proxies say what has come.
+const MOST_LINES: f64 = 0.95;
+const ORDINARY_LINES: f64 = 0.1;
 const ORDINARY_MESSAGES: f64 = 0.5;
 const BURST: usize = 3;
 const PACE_TRUSTED: f64 = 0.15;
+const MARKED_FROM: f64 = 0.05;
+/// The part of the fleet whose leaving at once must find room; the part of the grace's lines it may take; how
+/// many times as long as they take in the channel ordinary changes are gathered.
+const LEAVES_AT_ONCE: f64 = 0.15;
+const FOR_LEAVING: f64 = 0.9;
+const SPARING: f64 = 3.0;
 
 /// Outcomes by band: answered within 0.4, 0.6, 1 and more of the SLA time, voided; how much each hurts.
 const BANDS: [f64; 3] = [0.4, 0.6, 1.0];
@@ -83,7 +90,9 @@
     standing: Standing,
     started: Option<Moment>,
     heard: Option<Moment>,
+    /// Withdrawn from proxies, and from all that have joined since.
     out: bool,
+    told: bool,
     tally: Histogram<5>,
     rung: usize,
     strikes: u32,
@@ -108,6 +117,7 @@
     lines: BTreeMap<Id, f64>,
     afar: f64,
     carried: Option<Moment>,
+    sent: Moment,
     levels: BTreeMap<usize, f64>,
 }
 
@@ -120,12 +130,24 @@
 
 struct Proxy {
     zone: u32,
+    rate: f64,
     joined: Moment,
     fresh: bool,
     bound: BTreeSet<u32>,
     sent: VecDeque<Moment>,
 }
 
+/// Lines ordered in all, how many may still wait at a moment, and the marked replies: number, lines ordered
+/// up to the last of its messages known to have come, and the least of its messages.
+#[derive(Default)]
+struct Channel {
+    ordered: f64,
+    waiting: (f64, Moment),
+    marks: VecDeque<(u32, f64, f64)>,
+    marked: u32,
+    least: f64,
+}
+
 #[derive(Default)]
 struct Slice {
     lines: BTreeMap<Id, f64>,
@@ -159,8 +181,10 @@
     levels: Vec<f64>,
     pulse: Pulse,
     peak: f64,
-    waiting: (f64, Moment),
+    channel: Channel,
+    /// When ordinary changes may go next, and when the next look at what waits is due.
     gathered: Moment,
+    again: Moment,
     heartbeat_set: bool,
 }
 
@@ -183,8 +207,9 @@
             levels: vec![1.0; products],
             pulse: Pulse { asked: vec![0.0; products], ..Pulse::default() },
             peak: 0.0,
-            waiting: (0.0, now),
+            channel: Channel { waiting: (0.0, now), ..Channel::default() },
             gathered: now,
+            again: now,
             heartbeat_set: false,
         }
     }
@@ -209,6 +234,7 @@
                 started: None,
                 heard: None,
                 out: false,
+                told: false,
                 tally: Histogram::default(),
                 rung: 0,
                 strikes: 0,
@@ -223,7 +249,7 @@
             (server.zone, server.standing) = (l.zone, l.standing);
         }
         self.peak = self.peak.max(self.ready_weight());
-        self.publish(now);
+        self.turn(now);
     }
 
     /// A call to the list failed or the subscription dropped: what is known stays, and it is asked again.
@@ -243,19 +269,18 @@
     pub fn proxy_joined(&mut self, now: Moment, proxy: u32, zone: u32, rate: f64, fresh: bool) {
         let known = self.usual.insert(proxy, (zone, rate)).is_some();
         let (bound, sent) = (BTreeSet::new(), VecDeque::new());
-        self.proxies.insert(proxy, Proxy { zone, joined: now, fresh: fresh && !known, bound, sent });
+        self.proxies.insert(proxy, Proxy { zone, rate, joined: now, fresh: fresh && !known, bound, sent });
         self.lay_tbls(zone);
-        if self.tbls_of(zone).into_iter().all(|number| self.usable(number)) {
-            self.bind_waiting(now);
-        } else {
-            // Many join within a moment, and what a zone keeps at home depends on all of them.
-            self.host.wake(JOINS_GATHERED, AGAIN);
-        }
-        if self.proxies[&proxy].bound.is_empty() {
-            // Rule 3: until it is bound it holds tables that are not ours, with servers that may have left.
-            let out: Vec<Id> = self.servers.iter().filter(|(_, s)| s.out).map(|(id, _)| id.clone()).collect();
-            out.iter().for_each(|id| self.host.withdraw(id, true));
-            self.count(now, None, out.len());
+        // Rule 3: until it is bound it holds tables that are not ours, with servers that may have left.
+        self.servers.values_mut().for_each(|s| s.told = false);
+        // Many join within a moment, and what a zone keeps at home depends on all of them.
+        self.soon(now, JOINS_GATHERED);
+    }
+
+    fn soon(&mut self, now: Moment, after: Span) {
+        if self.again <= now || self.again > now + after {
+            self.again = now + after;
+            self.host.wake(after, AGAIN);
         }
     }
 
@@ -286,6 +311,16 @@
         }
     }
 
+    /// A marked message came to a proxy: it and all that was ordered before have left the channel.
+    pub fn applied(&mut self, number: u32) {
+        let channel = &mut self.channel;
+        if let Some(at) = channel.marks.iter().position(|m| m.0 == number) {
+            channel.marks.drain(..at);
+            channel.marks[0].1 += channel.marks[0].2;
+            channel.waiting.0 = channel.waiting.0.min(channel.ordered - channel.marks[0].1);
+        }
+    }
+
     pub fn woke(&mut self, now: Moment, label: u64) {
         match label {
             SUBSCRIBE => return self.host.follow_list(),
@@ -299,8 +334,7 @@
             }
             _ => {}
         }
-        self.publish(now);
-        self.bind_waiting(now);
+        self.turn(now);
     }
 
     // ---- tables ----
@@ -352,6 +386,12 @@
         self.ready().map(part).collect()
     }
 
+    /// A table's own order of the servers, so that what one can't hold another does.
+    fn rank(id: &Id, number: u32) -> u64 {
+        id.bytes()
+            .fold(u64::from(number) + 0xcbf2_9ce4, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+    }
+
     /// What a table should hold: every listed server, at listed weight but for the exceptions; with its
     /// weight, whether it is warm. Rule 1: no exception takes a warm server out.
     fn wanted(&mut self, now: Moment, number: u32) -> BTreeMap<Id, (f64, bool)> {
@@ -366,6 +406,15 @@
             parts.iter_mut().filter(|p| p.zone != home).for_each(|p| p.weight *= afar);
             self.tbls.get_mut(&number).expect("just read").afar = afar;
         }
+        let most = self.lines_most();
+        if parts.len() > most {
+            let tbl = &self.tbls[&number];
+            let far = |p: &Part| tbl.home.is_some_and(|home| home != p.zone);
+            parts.sort_by_cached_key(|p| {
+                (far(p), !tbl.lines.contains_key(&p.id), p.warmth < 1.0, Self::rank(&p.id, number))
+            });
+            parts.truncate(most);
+        }
         self.eased(parts)
     }
 
@@ -409,27 +458,27 @@
     }
 
     /// What differs from what stands, and whether it can't wait: servers that left, the first usable lines of
-    /// a table, a known server that came back cold.
-    fn changes(&mut self, now: Moment, number: u32) -> (Vec<(Id, f64)>, bool) {
+    /// a table, a known server that came back cold. The widest gaps first.
+    fn changes(&mut self, now: Moment, number: u32) -> Vec<(Id, f64, bool)> {
         let wanted = self.wanted(now, number);
         if wanted.is_empty() && self.carried(now, number) {
-            return (Vec::new(), false);
+            return Vec::new();
         }
-        let Some(tbl) = self.tbls.get_mut(&number) else { return (Vec::new(), false) };
+        let Some(tbl) = self.tbls.get_mut(&number) else { return Vec::new() };
         tbl.carried = None;
-        let left = tbl.lines.keys().filter(|id| !wanted.contains_key(*id));
-        let mut changes: Vec<(Id, f64)> = left.map(|id| (id.clone(), 0.0)).collect();
-        let mut urgent = !changes.is_empty() || tbl.lines.is_empty();
+        let left = tbl.lines.iter().filter(|(id, _)| !wanted.contains_key(*id));
+        let mut changes: Vec<(Id, f64, bool, f64)> =
+            left.map(|(id, stands)| (id.clone(), 0.0, true, *stands)).collect();
         for (id, (weight, warm)) in wanted {
-            let ratio = tbl.lines.get(&id).map_or(0.0, |stands| stands / weight);
-            let off = ratio.max(1.0 / ratio);
+            let stands = tbl.lines.get(&id).copied().unwrap_or(0.0);
+            let off = (stands / weight).max(weight / stands);
             if off > STEP || warm && off > 1.001 {
-                urgent |= !warm && ratio > 2.0;
-                changes.push((id, weight));
+                let urgent = tbl.lines.is_empty() || !warm && stands > 2.0 * weight;
+                changes.push((id, weight, urgent, (stands - weight).abs()));
             }
         }
-        urgent &= !changes.is_empty();
-        (changes, urgent)
+        changes.sort_by(|a, b| b.2.cmp(&a.2).then(b.3.total_cmp(&a.3)));
+        changes.into_iter().map(|(id, weight, urgent, _)| (id, weight, urgent)).collect()
     }
 
     /// A table that lost every server while some still report is carried for one heartbeat, or as long as
@@ -443,59 +492,102 @@
             |s: &Server| s.standing == Standing::Gone && s.heard.is_some_and(|h| now - h < HEARTBEAT_EVERY);
         if tbl.carried.is_none() && tbl.lines.keys().any(|id| self.servers.get(id).is_some_and(reports)) {
             tbl.carried = Some(now);
-            self.host.wake(spell, AGAIN);
+            self.host.wake(spell, CARRIED);
         }
-        tbl.carried.is_some_and(|since| now - since < spell)
+        self.tbls[&number].carried.is_some_and(|since| now - since < spell)
     }
 
-    /// One turn. What can't wait takes all else that has changed along; the rest is gathered.
+    /// One turn. What can't wait goes in pieces that fit and takes along what else has changed and fits; the
+    /// rest is gathered, the longer the more of the channel it takes.
     fn publish(&mut self, now: Moment) {
         if self.charter.slices > 0 {
             return self.publish_slices(now);
         }
-        let (mut changed, mut urgent) = (Vec::new(), false);
+        let (before, due) = (self.channel.ordered, now >= self.gathered);
+        let (mut changed, mut hasty) = (Vec::new(), BTreeSet::new());
         for number in self.tbls.keys().copied().collect::<Vec<_>>() {
-            let (changes, cant_wait) = self.changes(now, number);
-            urgent |= cant_wait && self.used(number);
-            changed.push((number, changes));
-        }
-        let leaving = self.leaving();
-        urgent |= !leaving.is_empty();
-        let lines = changed.iter().map(|c| c.1.len()).sum::<usize>() + leaving.len() + self.levels.len();
-        let go = (urgent || now - self.gathered >= GATHER) && self.room(now, lines, urgent);
-        if go {
-            self.withdraw(now, &leaving);
-        } else if urgent {
-            self.host.wake(URGENT_AGAIN, AGAIN);
+            let changes = self.changes(now, number);
+            if self.used(number) {
+                hasty.extend(changes.iter().filter(|c| c.2).map(|c| c.0.clone()));
+                changed.push((number, changes));
+            } else {
+                self.send(now, number, changes);
+            }
         }
-        for (number, changes) in changed {
-            if go || !self.used(number) {
+        let piece = self.fits(now, true, |p| !p.bound.is_empty());
+        let mut late = piece < hasty.len();
+        let hasty: BTreeSet<Id> = hasty.into_iter().take(piece).collect();
+        // The table that has waited longest first, or one that always changes would take all the room.
+        changed.sort_by_key(|(number, _)| self.tbls[number].sent);
+        for (number, mut changes) in changed {
+            let goes = |c: &(Id, f64, bool)| c.2 && hasty.contains(&c.0);
+            let urgent = changes.iter().filter(|c| goes(c)).count();
+            if !due && urgent == 0 {
+                continue;
+            }
+            let fits = self.fits(now, false, |p| p.bound.contains(&number));
+            let mut more = fits.saturating_sub(urgent + self.levels.len());
+            late |= more < changes.len() - urgent;
+            changes.retain(|c| goes(c) || !c.2 && more > 0 && (more -= 1, true).1);
+            if fits > 0 || urgent > 0 {
                 self.send(now, number, changes);
             }
         }
+        // After the lines: a withdrawal costs nothing at proxies whose table has just lost the server.
+        let leaving = self.leaving();
+        let piece = self.fits(now, true, |p| p.bound.is_empty());
+        late |= piece < leaving.len();
+        self.withdraw(now, &leaving[..piece.min(leaving.len())]);
+        let took = self.channel.ordered - before;
+        if took > 0.0 {
+            let took = took / self.charter.channel_rate.max(1.0);
+            self.gathered = now + GATHER.max(Span::secs(took * SPARING));
+        }
+        if late {
+            self.soon(now, ROOM_AGAIN);
+        }
     }
 
-    /// Rule 3: what drains or is gone, and is not out yet.
+    /// All that a moment orders. Where the queue is no longer short, the proxies are asked to tell what came.
+    fn turn(&mut self, now: Moment) {
+        let before = self.channel.ordered;
+        self.channel.least = f64::INFINITY;
+        self.publish(now);
+        self.bind_waiting(now);
+        let most = self.charter.most_waiting;
+        if self.channel.ordered > before && most > 0.0 && self.waiting(now) > most * MARKED_FROM {
+            let messages = self.proxies.values().filter(|p| p.sent.back() == Some(&now)).count() as f64;
+            let channel = &mut self.channel;
+            channel.marked = (channel.marked + 1) % 65_536;
+            self.host.mark(channel.marked);
+            channel.marks.push_back((channel.marked, before, channel.least));
+            channel.ordered += messages;
+            channel.waiting.0 += messages;
+        }
+    }
+
+    /// Rule 3: what drains or is gone, is in no table and not withdrawn from all. Only a withdrawal reaches
+    /// tables that we did not write, which proxies hold until they are bound.
     fn leaving(&self) -> Vec<Id> {
-        let held = |id: &Id| self.tbls.values().any(|t| t.carried.is_some() && t.lines.contains_key(id));
-        let left = self.servers.iter().filter(|(id, s)| !s.ready() && !s.out && !held(id));
+        let held = |id: &Id| self.tbls.values().any(|t| t.lines.contains_key(id));
+        let left = self.servers.iter().filter(|(id, s)| !s.ready() && !s.told && !held(id));
         left.map(|(id, _)| id.clone()).collect()
     }
 
-    /// Rule 3 holds whatever tables proxies have, and only a withdrawal reaches those that we did not write.
     fn withdraw(&mut self, now: Moment, leaving: &[Id]) {
         for id in leaving {
-            self.servers.get_mut(id).expect("a listed server").out = true;
+            let server = self.servers.get_mut(id).expect("a listed server");
+            (server.out, server.told) = (true, true);
             self.host.withdraw(id, true);
         }
-        self.count(now, None, leaving.len());
+        self.count(now, leaving.len(), |p| p.bound.is_empty());
     }
 
-    fn send(&mut self, now: Moment, number: u32, changes: Vec<(Id, f64)>) {
+    fn send(&mut self, now: Moment, number: u32, changes: Vec<(Id, f64, bool)>) {
         let mut orders = 0;
         let levels: Vec<(usize, f64)> = (0..self.levels.len()).map(|k| (k, self.admitted(k))).collect();
         let Some(tbl) = self.tbls.get_mut(&number) else { return };
-        for (id, weight) in changes {
+        for (id, weight, _) in changes {
             // One that returns is let back in with its first line, not before: until then it may be cold.
             if let Some(server) = self.servers.get_mut(&id).filter(|s| s.out && s.ready()) {
                 server.out = false;
@@ -515,9 +607,9 @@
                 orders += 1;
             }
         }
-        if orders > 0 && self.used(number) {
-            self.gathered = now;
-            self.count(now, Some(number), orders);
+        if orders > 0 {
+            tbl.sent = now;
+            self.count(now, orders, |p| p.bound.contains(&number));
         }
     }
 
@@ -538,26 +630,37 @@
         self.tbls.get(&number).is_some_and(|t| t.lines.keys().any(ready))
     }
 
-    /// A bind goes out once its table holds a usable server, what the proxy has stands meanwhile. One that
-    /// was served before gets no part of its tables; one never served waits for all within a budget.
+    /// A bind goes out once its table holds a usable server and the channel has room for it; what the proxy
+    /// has stands meanwhile. One that was served before gets no part of its tables; one never served waits for
+    /// all within a budget. Those with the least to go by, then those with most traffic, come first.
     fn bind_waiting(&mut self, now: Moment) {
-        let mut held = false;
-        for proxy in self.proxies.keys().copied().collect::<Vec<_>>() {
+        let (mut held, most) = (false, self.lines_may_wait(false));
+        let waits = |(n, p): (&u32, &Proxy)| {
+            let missing = self.tbls_of(p.zone).into_iter().filter(|t| !p.bound.contains(t));
+            let missing: Vec<u32> = missing.collect();
+            (!missing.is_empty()).then_some((!p.fresh, -p.rate, *n, missing))
+        };
+        let mut queue: Vec<(bool, f64, u32, Vec<u32>)> = self.proxies.iter().filter_map(waits).collect();
+        queue.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        for (_, _, proxy, missing) in queue {
             let p = &self.proxies[&proxy];
-            let (zone, in_budget) = (p.zone, !p.fresh || now - p.joined < JOIN_BUDGET);
-            let missing: Vec<u32> = self.tbls_of(zone).into_iter().filter(|t| !p.bound.contains(t)).collect();
+            let in_budget = !p.fresh || now - p.joined < JOIN_BUDGET;
             let partial = missing.iter().any(|number| !self.usable(*number));
             held |= partial;
-            for number in missing.into_iter().filter(|_| !partial || !in_budget) {
-                if self.usable(number) {
-                    let out = self.servers.values().filter(|s| s.out).count();
-                    let tbl = &self.tbls[&number];
-                    let lines = tbl.lines.len() + tbl.levels.len() + 1 + out;
-                    self.host.bind(proxy, number, tbl.products);
-                    self.proxies.get_mut(&proxy).expect("just read").bound.insert(number);
-                    self.message(now, proxy, lines);
-                }
+            let binds: Vec<u32> =
+                missing.into_iter().filter(|t| self.usable(*t) && (!partial || !in_budget)).collect();
+            let tbls = binds.iter().map(|number| &self.tbls[number]);
+            let lines = tbls.map(|tbl| tbl.lines.len() + tbl.levels.len() + 1).sum();
+            let waiting = self.waiting(now);
+            if lines > 0 && waiting > 1.0 && waiting + self.charter.message_head + lines as f64 > most {
+                self.soon(now, ROOM_AGAIN);
+                break;
+            }
+            for number in binds {
+                self.host.bind(proxy, number, self.tbls[&number].products);
+                self.proxies.get_mut(&proxy).expect("just read").bound.insert(number);
             }
+            self.message(now, proxy, lines);
         }
         if held && !self.heartbeat_set {
             self.heartbeat_set = true;
@@ -567,16 +670,47 @@
     }
 
     fn waiting(&self, now: Moment) -> f64 {
-        let drained = (now - self.waiting.1).as_secs() * self.charter.channel_rate * PACE_TRUSTED;
-        (self.waiting.0 - drained).max(0.0)
+        let (waiting, then) = self.channel.waiting;
+        (waiting - (now - then).as_secs() * self.charter.channel_rate * PACE_TRUSTED).max(0.0)
     }
 
-    /// Whether one more message of so many lines to every proxy fits. Ordinary changes leave a reserve; what
-    /// can't wait goes at once a few times, then at a pace that the limit bears for ever.
-    fn room(&mut self, now: Moment, lines: usize, urgent: bool) -> bool {
+    /// The lines that the channel carries within the grace, once they left the module.
+    fn in_grace(&self) -> f64 {
+        (self.charter.drain_grace - self.charter.way_most).as_secs() * self.charter.channel_rate * FOR_LEAVING
+    }
+
+    /// How many lines a table may hold so that a part of the fleet can leave all proxies within the grace.
+    fn lines_most(&self) -> usize {
+        let each = self.in_grace() / f64::from(self.charter.proxies.max(1)) - self.charter.message_head;
+        if self.charter.channel_rate <= 0.0 {
+            usize::MAX
+        } else {
+            (each / LEAVES_AT_ONCE).max(1.0) as usize
+        }
+    }
+
+    /// Lines that may wait. What can wait leaves room for a part of the fleet to leave, within the grace.
+    fn lines_may_wait(&self, urgent: bool) -> f64 {
+        let most = self.charter.most_waiting * MOST_LINES;
+        let lines = |p: &Proxy| -> usize { p.bound.iter().map(|number| self.tbls[number].lines.len()).sum() };
+        let leave = |p| self.charter.message_head + lines(p) as f64 * LEAVES_AT_ONCE;
+        if self.charter.most_waiting <= 0.0 || self.charter.channel_rate <= 0.0 {
+            f64::INFINITY
+        } else if urgent {
+            most
+        } else {
+            (most.min(self.in_grace()) - self.proxies.values().map(leave).sum::<f64>())
+                .max(most * ORDINARY_LINES)
+        }
+    }
+
+    /// How many lines for each of some proxies fit. What can't wait goes at once a few times, then at a pace
+    /// that the limit of messages bears for ever.
+    fn fits(&mut self, now: Moment, urgent: bool, which: impl Fn(&Proxy) -> bool) -> usize {
         let (over, most) = (self.charter.messages_over, self.charter.messages_most as usize);
         let pace = over * (1.0 / most.saturating_sub(BURST).max(1) as f64);
-        for p in self.proxies.values_mut() {
+        let (mut proxies, mut heads) = (0, 0);
+        for p in self.proxies.values_mut().filter(|p| which(p)) {
             p.sent.retain(|sent| now - *sent <= over);
             let (count, last) = (p.sent.len(), p.sent.back().copied());
             let fits = last == Some(now)
@@ -584,29 +718,37 @@
                 || !urgent && (count as f64) < most as f64 * ORDINARY_MESSAGES
                 || urgent && count < most && (count < BURST || last.is_some_and(|last| now - last >= pace));
             if most > 0 && !fits {
-                return false;
+                return 0;
             }
+            proxies += 1;
+            heads += usize::from(last != Some(now));
+        }
+        let room = self.lines_may_wait(urgent) - self.waiting(now) - heads as f64 * self.charter.message_head;
+        let least = if !urgent && self.waiting(now) < 1.0 { 1.0 + self.levels.len() as f64 } else { 0.0 };
+        if proxies == 0 {
+            usize::MAX
+        } else {
+            (room / proxies as f64).max(least) as usize
         }
-        let cost = self.proxies.len() as f64 * (self.charter.message_head + lines as f64);
-        let part = if urgent { URGENT_LINES } else { ORDINARY_LINES };
-        let bounded = self.charter.most_waiting > 0.0 && self.charter.channel_rate > 0.0;
-        !bounded || self.waiting(now) + cost <= self.charter.most_waiting * part
     }
 
     fn message(&mut self, now: Moment, proxy: u32, lines: usize) {
-        let mut waiting = self.waiting(now) + lines as f64;
-        if let Some(p) = self.proxies.get_mut(&proxy).filter(|p| p.sent.back() != Some(&now)) {
+        let Some(p) = self.proxies.get_mut(&proxy).filter(|_| lines > 0) else { return };
+        let mut lines = lines as f64;
+        if p.sent.back() != Some(&now) {
             p.sent.push_back(now);
-            waiting += self.charter.message_head;
+            lines += self.charter.message_head;
+            self.channel.least = self.channel.least.min(lines);
         }
-        self.waiting = (waiting, now);
+        let waiting = self.waiting(now) + lines;
+        let channel = &mut self.channel;
+        (channel.ordered, channel.waiting) = (channel.ordered + lines, (waiting, now));
     }
 
-    /// Lines for the proxies on a table, or for all.
-    fn count(&mut self, now: Moment, number: Option<u32>, lines: usize) {
-        let on = |p: &Proxy| number.is_none_or(|number| p.bound.contains(&number));
-        let proxies: Vec<u32> = self.proxies.iter().filter(|(_, p)| on(p)).map(|(n, _)| *n).collect();
-        proxies.into_iter().filter(|_| lines > 0).for_each(|proxy| self.message(now, proxy, lines));
+    /// So many lines for each of some proxies.
+    fn count(&mut self, now: Moment, lines: usize, which: impl Fn(&Proxy) -> bool) {
+        let proxies: Vec<u32> = self.proxies.iter().filter(|(_, p)| which(p)).map(|(n, _)| *n).collect();
+        proxies.into_iter().for_each(|proxy| self.message(now, proxy, lines));
     }
 
     /// A server that hurts more than its peers goes down a rung, whatever the cause: slow, failing, hung, cut
--- a/src/testing.rs
+++ b/src/testing.rs
@@ -34,6 +34,9 @@
     fn level(&mut self, tbl: u32, products: Products, admitted: f64, retry: Retry) {
         self.said.push(format!("level {tbl} {products} {admitted:.2} {retry:?}"));
     }
+    fn mark(&mut self, number: u32) {
+        self.said.push(format!("mark {number}"));
+    }
     fn follow_list(&mut self) {
         self.said.push("follow".into());
     }
@@ -59,6 +62,7 @@
         lease: Span::secs(2.0),
         settle: Span::secs(0.1),
         report_every: Span::secs(1.0),
+        proxies: 4,
         channel_rate: 1000.0,
         message_head: 3.0,
         most_waiting: 1000.0,
--- a/wirehost/src/decode.rs
+++ b/wirehost/src/decode.rs
@@ -147,6 +147,7 @@
         lease: info.at("keepsWritingUs").span(),
         settle: info.at("settleUs").span(),
         report_every: info.at("reportEveryUs").span(),
+        proxies: info.at("proxyCount").count(),
         channel_rate: info.at("channelRate").num(),
         message_head: info.at("fixedCost").num(),
         most_waiting: info.at("mostWaiting").num(),
--- a/wirehost/src/desk.rs
+++ b/wirehost/src/desk.rs
@@ -100,6 +100,10 @@
         self.say("SET_LEVEL", fields);
     }
 
+    fn mark(&mut self, number: u32) {
+        self.say("CHECKPOINT", json!({"epoch": number, "set": false}));
+    }
+
     fn follow_list(&mut self) {
         self.say("FOLLOW", json!({"set": true}));
     }
--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -150,8 +150,12 @@
                     rules.slice_line(slice, &id, weight)
                 })
             }
-            // Nothing is decided by these: probes, demand by slice, applied marks and peers' words.
-            "STATUS_BACK" | "KEY_LOAD" | "IN_FORCE" | "INBOX" => return Ok(()),
+            "IN_FORCE" => {
+                let number = f.small("epoch")?;
+                Box::new(move |rules| rules.applied(number))
+            }
+            // Nothing is decided by these: probes, demand by slice and peers' words.
+            "STATUS_BACK" | "KEY_LOAD" | "INBOX" => return Ok(()),
             kind => return Err(format!("message {kind} is unknown")),
         };
         self.guarded(who, |hosted| {
