--- a/src/rules.rs
+++ b/src/rules.rs
@@ -50,16 +50,18 @@
 /// Parts of the waiting lines and messages that may be used, in all and by what can wait; messages kept back
 /// for drains; the part of its stated pace that a channel is trusted with until proxies say what has come.
 const MOST_LINES: f64 = 0.95;
-const ORDINARY_LINES: f64 = 0.1;
+const ORDINARY_LINES: f64 = 0.2;
 const ORDINARY_MESSAGES: f64 = 0.5;
 const BURST: usize = 3;
-const PACE_TRUSTED: f64 = 0.15;
+const PACE_TRUSTED: f64 = 0.04;
 const MARKED_FROM: f64 = 0.05;
 /// The part of the fleet whose leaving at once must find room; the part of the grace's lines it may take; how
 /// many times as long as they take in the channel ordinary changes are gathered.
-const LEAVES_AT_ONCE: f64 = 0.15;
+const LEAVES_AT_ONCE: f64 = 0.001;
 const FOR_LEAVING: f64 = 0.9;
-const SPARING: f64 = 3.0;
+const SPARING: f64 = 1.5;
+/// A standing table is drawn by chance: how much more than the mean of it may have to be told.
+const CHANCE: f64 = 1.5;
 
 /// Outcomes by band: answered within 0.4, 0.6, 1 and more of the SLA time, voided; how much each hurts.
 const BANDS: [f64; 3] = [0.4, 0.6, 1.0];
@@ -97,6 +99,7 @@
     rung: usize,
     strikes: u32,
     judged: Moment,
+    left: Moment,
 }
 
 impl Server {
@@ -221,6 +224,8 @@
     pub fn list_whole(&mut self, now: Moment, listings: &[Listing]) {
         let listed: BTreeSet<&Id> = listings.iter().map(|l| &l.id).collect();
         let dropped = self.servers.iter_mut().filter(|(id, _)| !listed.contains(id));
+        dropped.filter(|(_, server)| server.ready()).for_each(|(_, server)| server.left = now);
+        let dropped = self.servers.iter_mut().filter(|(id, _)| !listed.contains(id));
         dropped.for_each(|(_, server)| server.standing = Standing::Gone);
         self.list_changed(now, listings);
     }
@@ -239,6 +244,7 @@
                 rung: 0,
                 strikes: 0,
                 judged: now,
+                left: now,
             });
             if l.started > server.started {
                 server.move_to(0, now);
@@ -246,6 +252,9 @@
             }
             // A listed server without a weight is still a server: rule 1 counts it.
             server.weight = if l.weight.is_finite() { l.weight.max(0.01) } else { 0.01 };
+            if server.ready() {
+                server.left = now;
+            }
             (server.zone, server.standing) = (l.zone, l.standing);
         }
         self.peak = self.peak.max(self.ready_weight());
@@ -397,45 +406,44 @@
     fn wanted(&mut self, now: Moment, number: u32) -> BTreeMap<Id, (f64, bool)> {
         let mut parts = self.parts(now);
         let Some(tbl) = self.tbls.get(&number) else { return BTreeMap::new() };
+        let far = |p: &Part| tbl.home.is_some_and(|home| home != p.zone);
         if tbl.stays {
-            parts.retain(|p| tbl.home == Some(p.zone));
-        } else if let Some(home) = tbl.home {
+            parts.retain(|p| !far(p));
+        }
+        parts.sort_by_cached_key(|p| {
+            (far(p), !tbl.lines.contains_key(&p.id), p.warmth < 1.0, Self::rank(&p.id, number))
+        });
+        let left_out = parts.split_off(parts.len().min(self.lines_most()));
+        if let Some(home) = tbl.home.filter(|_| !tbl.stays) {
             // In coarse steps, or each server held back would move every line of the other zones.
-            let (stood, afar) = (tbl.afar, self.afar(home, &parts));
+            let (stood, afar) = (tbl.afar, self.afar(home, &parts, &left_out));
             let afar = if (afar / stood).max(stood / afar) > FAR_STEP { afar } else { stood };
-            parts.iter_mut().filter(|p| p.zone != home).for_each(|p| p.weight *= afar);
+            parts.iter_mut().filter(|p| far(p)).for_each(|p| p.weight *= afar);
             self.tbls.get_mut(&number).expect("just read").afar = afar;
         }
-        let most = self.lines_most();
-        if parts.len() > most {
-            let tbl = &self.tbls[&number];
-            let far = |p: &Part| tbl.home.is_some_and(|home| home != p.zone);
-            parts.sort_by_cached_key(|p| {
-                (far(p), !tbl.lines.contains_key(&p.id), p.warmth < 1.0, Self::rank(&p.id, number))
-            });
-            parts.truncate(most);
-        }
         self.eased(parts)
     }
 
     /// Where crossing zones costs, servers of other zones get this part of their weight: what carries a tenth
     /// of the zone's usual traffic, or all of it that its own servers' part of the fleet does not cover. Cold
-    /// ones count short, so that a zone of new servers leans on the others.
-    fn afar(&self, home: u32, parts: &[Part]) -> f64 {
-        let weight = |which: &dyn Fn(u32) -> bool| -> f64 {
+    /// ones count short, so that a zone of new servers leans on the others. Those in the table stand for those
+    /// left out.
+    fn afar(&self, home: u32, parts: &[Part], left_out: &[Part]) -> f64 {
+        let mut rates = BTreeMap::<u32, f64>::new();
+        self.usual.values().for_each(|(zone, rate)| *rates.entry(*zone).or_default() += rate);
+        let weight = |parts: &[Part], which: &dyn Fn(u32) -> bool| -> f64 {
             parts.iter().filter(|p| which(p.zone)).map(|p| p.weight * p.warmth * p.warmth).sum()
         };
-        let rate = |which: &dyn Fn(u32) -> bool| -> f64 {
-            self.usual.values().filter(|u| which(u.0)).map(|u| u.1).sum()
-        };
-        let (here, there) = (weight(&|zone| zone == home), weight(&|zone| zone != home));
-        let seen = |zone| self.usual.values().any(|u| u.0 == zone);
-        let due = rate(&|zone| zone == home) / rate(&|_| true).max(1e-9) * weight(&seen);
+        let (here, there) = (weight(parts, &|zone| zone == home), weight(parts, &|zone| zone != home));
+        let seen = |zone| rates.contains_key(&zone);
+        let whole = weight(parts, &seen) + weight(left_out, &seen);
+        let due = rates.get(&home).unwrap_or(&0.0) / rates.values().sum::<f64>().max(1e-9) * whole;
         if here <= 0.0 || there <= 0.0 || due <= 0.0 {
             return 1.0;
         }
         let stay = (here / due).min(1.0) * STAY;
-        (here * (1.0 - stay) / (stay * there)).clamp(0.01, 1.0)
+        let most = 1.0 + weight(left_out, &|zone| zone != home) / there;
+        (here * (1.0 - stay) / (stay * there)).clamp(0.01, most)
     }
 
     /// Rule 4 where a ramp alone does not keep it.
@@ -498,25 +506,51 @@
     }
 
     /// One turn. What can't wait goes in pieces that fit and takes along what else has changed and fits; the
-    /// rest is gathered, the longer the more of the channel it takes.
-    fn publish(&mut self, now: Moment) {
+    /// rest is gathered, the longer the more of the channel it takes. Tells whether something due found no room.
+    fn publish(&mut self, now: Moment) -> bool {
         if self.charter.slices > 0 {
-            return self.publish_slices(now);
+            self.publish_slices(now);
+            return false;
         }
-        let (before, due) = (self.channel.ordered, now >= self.gathered);
-        let (mut changed, mut hasty) = (Vec::new(), BTreeSet::new());
+        let due = now >= self.gathered;
+        let (mut changed, mut hasty) = (Vec::new(), Vec::new());
         for number in self.tbls.keys().copied().collect::<Vec<_>>() {
             let changes = self.changes(now, number);
-            if self.used(number) {
+            if self.users(number) > 0.0 {
                 hasty.extend(changes.iter().filter(|c| c.2).map(|c| c.0.clone()));
                 changed.push((number, changes));
             } else {
                 self.send(now, number, changes);
             }
         }
-        let piece = self.fits(now, true, |p| !p.bound.is_empty());
-        let mut late = piece < hasty.len();
-        let hasty: BTreeSet<Id> = hasty.into_iter().take(piece).collect();
+        // Who left first goes first; many small pieces would cost more in heads than they carry.
+        hasty.sort_by_cached_key(|id| (self.servers.get(id).map(|s| s.left), id.clone()));
+        hasty.dedup();
+        let most = self.lines_may_wait(true);
+        let room =
+            if self.fits(now, true, |p| !p.bound.is_empty()) > 0 { most - self.waiting(now) } else { 0.0 };
+        let cost = |piece: &[Id]| -> f64 {
+            let piece: BTreeSet<&Id> = piece.iter().collect();
+            let lines =
+                |changes: &[(Id, f64, bool)]| changes.iter().filter(|c| piece.contains(&c.0)).count() as f64;
+            let one =
+                |(number, c): &(u32, Vec<_>)| self.users(*number) * (self.charter.message_head + lines(c));
+            if piece.is_empty() {
+                0.0
+            } else {
+                changed.iter().map(one).sum()
+            }
+        };
+        let whole = hasty.len();
+        while !hasty.is_empty() && cost(&hasty) > room {
+            hasty.truncate(hasty.len() * 3 / 4);
+        }
+        let mut late = hasty.len() < whole;
+        if late && cost(&hasty) < most / 2.0 {
+            hasty.clear();
+        }
+        let before = self.channel.ordered + cost(&hasty);
+        let hasty: BTreeSet<Id> = hasty.into_iter().collect();
         // The table that has waited longest first, or one that always changes would take all the room.
         changed.sort_by_key(|(number, _)| self.tbls[number].sent);
         for (number, mut changes) in changed {
@@ -527,33 +561,45 @@
             }
             let fits = self.fits(now, false, |p| p.bound.contains(&number));
             let mut more = fits.saturating_sub(urgent + self.levels.len());
-            late |= more < changes.len() - urgent;
+            let whole = changes.len() - urgent;
+            late |= more < whole;
+            if more < whole && (more as f64) < self.charter.message_head && urgent == 0 {
+                continue;
+            }
             changes.retain(|c| goes(c) || !c.2 && more > 0 && (more -= 1, true).1);
             if fits > 0 || urgent > 0 {
                 self.send(now, number, changes);
             }
         }
-        // After the lines: a withdrawal costs nothing at proxies whose table has just lost the server.
-        let leaving = self.leaving();
-        let piece = self.fits(now, true, |p| p.bound.is_empty());
-        late |= piece < leaving.len();
-        self.withdraw(now, &leaving[..piece.min(leaving.len())]);
-        let took = self.channel.ordered - before;
+        let took = (self.channel.ordered - before) / self.charter.channel_rate.max(1.0);
         if took > 0.0 {
-            let took = took / self.charter.channel_rate.max(1.0);
             self.gathered = now + GATHER.max(Span::secs(took * SPARING));
         }
+        // After the lines: a withdrawal costs nothing at proxies whose table has just lost the server.
+        let mut leaving = self.leaving();
+        let room = self.lines_may_wait(true) - self.waiting(now);
+        let may = self.fits(now, true, |p| p.bound.is_empty()) > 0;
+        while !leaving.is_empty()
+            && (!may || self.strays(leaving.len()).iter().map(|s| s.2).sum::<f64>() > room)
+        {
+            leaving.truncate(leaving.len() / 2);
+            late = true;
+        }
+        self.withdraw(now, &leaving);
         if late {
             self.soon(now, ROOM_AGAIN);
         }
+        late
     }
 
     /// All that a moment orders. Where the queue is no longer short, the proxies are asked to tell what came.
     fn turn(&mut self, now: Moment) {
         let before = self.channel.ordered;
         self.channel.least = f64::INFINITY;
-        self.publish(now);
-        self.bind_waiting(now);
+        // Binds can wait longest: each takes what a line to all would, and what it replaces is no worse.
+        if !self.publish(now) {
+            self.bind_waiting(now);
+        }
         let most = self.charter.most_waiting;
         if self.channel.ordered > before && most > 0.0 && self.waiting(now) > most * MARKED_FROM {
             let messages = self.proxies.values().filter(|p| p.sent.back() == Some(&now)).count() as f64;
@@ -580,7 +626,19 @@
             (server.out, server.told) = (true, true);
             self.host.withdraw(id, true);
         }
-        self.count(now, leaving.len(), |p| p.bound.is_empty());
+        for (proxy, lines, _) in self.strays(leaving.len()) {
+            self.message(now, proxy, lines);
+        }
+    }
+
+    /// Unbound proxies, the lines that so many withdrawals cost each, heads aside and with them. A standing table
+    /// holds few servers, drawn by chance; one that was laid on an earlier stream may hold them all.
+    fn strays(&self, leaving: usize) -> Vec<(u32, f64, f64)> {
+        let drawn = f64::from(self.charter.standing_most) / self.servers.len().max(1) as f64 * CHANCE;
+        let lines = |p: &Proxy| leaving as f64 * if p.fresh { drawn.min(1.0) } else { 1.0 };
+        let cost = |lines: f64| lines + self.charter.message_head * lines.min(1.0);
+        let unbound = self.proxies.iter().filter(|(_, p)| p.bound.is_empty());
+        unbound.map(|(n, p)| (*n, lines(p), cost(lines(p)))).collect()
     }
 
     fn send(&mut self, now: Moment, number: u32, changes: Vec<(Id, f64, bool)>) {
@@ -621,8 +679,8 @@
         }
     }
 
-    fn used(&self, number: u32) -> bool {
-        self.proxies.values().any(|p| p.bound.contains(&number))
+    fn users(&self, number: u32) -> f64 {
+        self.proxies.values().filter(|p| p.bound.contains(&number)).count() as f64
     }
 
     fn usable(&self, number: u32) -> bool {
@@ -650,7 +708,7 @@
             let binds: Vec<u32> =
                 missing.into_iter().filter(|t| self.usable(*t) && (!partial || !in_budget)).collect();
             let tbls = binds.iter().map(|number| &self.tbls[number]);
-            let lines = tbls.map(|tbl| tbl.lines.len() + tbl.levels.len() + 1).sum();
+            let lines: usize = tbls.map(|tbl| tbl.lines.len() + tbl.levels.len() + 1).sum();
             let waiting = self.waiting(now);
             if lines > 0 && waiting > 1.0 && waiting + self.charter.message_head + lines as f64 > most {
                 self.soon(now, ROOM_AGAIN);
@@ -660,7 +718,7 @@
                 self.host.bind(proxy, number, self.tbls[&number].products);
                 self.proxies.get_mut(&proxy).expect("just read").bound.insert(number);
             }
-            self.message(now, proxy, lines);
+            self.message(now, proxy, lines as f64);
         }
         if held && !self.heartbeat_set {
             self.heartbeat_set = true;
@@ -699,7 +757,7 @@
         } else if urgent {
             most
         } else {
-            (most.min(self.in_grace()) - self.proxies.values().map(leave).sum::<f64>())
+            (most.min(self.in_grace()) - self.proxies.values().map(leave).sum::<f64>() * CHANCE)
                 .max(most * ORDINARY_LINES)
         }
     }
@@ -732,12 +790,12 @@
         }
     }
 
-    fn message(&mut self, now: Moment, proxy: u32, lines: usize) {
-        let Some(p) = self.proxies.get_mut(&proxy).filter(|_| lines > 0) else { return };
-        let mut lines = lines as f64;
+    fn message(&mut self, now: Moment, proxy: u32, lines: f64) {
+        let Some(p) = self.proxies.get_mut(&proxy).filter(|_| lines > 0.0) else { return };
+        let mut lines = lines;
         if p.sent.back() != Some(&now) {
             p.sent.push_back(now);
-            lines += self.charter.message_head;
+            lines += self.charter.message_head * lines.min(1.0);
             self.channel.least = self.channel.least.min(lines);
         }
         let waiting = self.waiting(now) + lines;
@@ -748,7 +806,7 @@
     /// So many lines for each of some proxies.
     fn count(&mut self, now: Moment, lines: usize, which: impl Fn(&Proxy) -> bool) {
         let proxies: Vec<u32> = self.proxies.iter().filter(|(_, p)| which(p)).map(|(n, _)| *n).collect();
-        proxies.into_iter().for_each(|proxy| self.message(now, proxy, lines));
+        proxies.into_iter().for_each(|proxy| self.message(now, proxy, lines as f64));
     }
 
     /// A server that hurts more than its peers goes down a rung, whatever the cause: slow, failing, hung, cut
