--- a/src/rules.rs
+++ b/src/rules.rs
@@ -57,9 +57,12 @@
 const MARKED_FROM: f64 = 0.05;
 /// The part of the fleet whose leaving at once must find room; the part of the grace's lines it may take; how
 /// many times as long as they take in the channel ordinary changes are gathered.
-const LEAVES_AT_ONCE: f64 = 0.001;
+const LEAVES_AT_ONCE: f64 = 0.2;
 const FOR_LEAVING: f64 = 0.9;
-const SPARING: f64 = 1.5;
+const SPARING: f64 = 2.0;
+const THIN: f64 = 0.2;
+/// A change of a line goes out if it is this part of a mean line, for each second that its way takes.
+const SLIGHT: f64 = 4.0;
 /// A standing table is drawn by chance: how much more than the mean of it may have to be told.
 const CHANCE: f64 = 1.5;
 
@@ -70,6 +73,8 @@
 /// What a troubled server keeps of its weight, and how far above the fleet's hurt it must stand.
 const RUNGS: [f64; 6] = [1.0, 0.75, 0.55, 0.35, 0.15, 0.04];
 const ENOUGH: f64 = 6.0;
+const PLENTY: f64 = 20.0;
+const NOISE: f64 = 0.5;
 const STANDS_OUT: f64 = 0.2;
 const AT_PAR: f64 = 0.08;
 const HOPELESS: f64 = 0.7;
@@ -297,7 +302,7 @@
         self.proxies.remove(&proxy);
     }
 
-    pub fn met(&mut self, now: Moment, id: &str, tries: f64, voided: f64, took: Span) {
+    pub fn met(&mut self, now: Moment, id: &str, tries: f64, voided: f64, took: Span, over: Span) {
         let Some(server) = self.servers.get_mut(id) else { return };
         let answered = (tries - voided).max(0.0);
         self.pulse.tries += tries;
@@ -307,7 +312,7 @@
             server.heard = Some(now);
         }
         // Reports come late: for a while they still tell of the weight before the last move.
-        if server.rung == 0 || now - server.judged >= REPORT_LAG + self.charter.report_every {
+        if server.rung == 0 || now - server.judged >= REPORT_LAG + over {
             let sla = self.charter.products.iter().map(|p| p.sla).min().unwrap_or_default();
             server.tally.add(VOIDED, voided);
             server.tally.add(BANDS.iter().filter(|part| took >= sla * **part).count(), answered);
@@ -472,6 +477,8 @@
         if wanted.is_empty() && self.carried(now, number) {
             return Vec::new();
         }
+        let each = self.users(number) / self.charter.channel_rate.max(1.0) * SLIGHT;
+        let slight = wanted.values().map(|w| w.0).sum::<f64>() / wanted.len().max(1) as f64 * each;
         let Some(tbl) = self.tbls.get_mut(&number) else { return Vec::new() };
         tbl.carried = None;
         let left = tbl.lines.iter().filter(|(id, _)| !wanted.contains_key(*id));
@@ -480,9 +487,10 @@
         for (id, (weight, warm)) in wanted {
             let stands = tbl.lines.get(&id).copied().unwrap_or(0.0);
             let off = (stands / weight).max(weight / stands);
-            if off > STEP || warm && off > 1.001 {
+            let gap = (stands - weight).abs();
+            if off > STEP && (gap > slight || stands == 0.0) || warm && off > 1.001 && gap > slight {
                 let urgent = tbl.lines.is_empty() || !warm && stands > 2.0 * weight;
-                changes.push((id, weight, urgent, (stands - weight).abs()));
+                changes.push((id, weight, urgent, gap));
             }
         }
         changes.sort_by(|a, b| b.2.cmp(&a.2).then(b.3.total_cmp(&a.3)));
@@ -512,7 +520,11 @@
             self.publish_slices(now);
             return false;
         }
-        let due = now >= self.gathered;
+        // Standing tables are thinned by all that leaves: before one is bare its proxy must be bound.
+        let out = self.servers.values().filter(|s| !s.ready()).count() as f64;
+        let thin =
+            out > self.servers.len() as f64 * THIN && self.proxies.values().any(|p| p.bound.is_empty());
+        let due = now >= self.gathered && !thin;
         let (mut changed, mut hasty) = (Vec::new(), Vec::new());
         for number in self.tbls.keys().copied().collect::<Vec<_>>() {
             let changes = self.changes(now, number);
@@ -557,6 +569,9 @@
             let goes = |c: &(Id, f64, bool)| c.2 && hasty.contains(&c.0);
             let urgent = changes.iter().filter(|c| goes(c)).count();
             if !due && urgent == 0 {
+                if !changes.is_empty() && !thin {
+                    self.soon(now, self.gathered - now);
+                }
                 continue;
             }
             let fits = self.fits(now, false, |p| p.bound.contains(&number));
@@ -823,9 +838,12 @@
         self.pulse.middle = hurts.get(hurts.len() / 2).map_or(0.0, |h| h.0);
         let mut held_back: f64 = self.ready().map(|(_, s)| s.weight * (1.0 - RUNGS[s.rung])).sum();
         let most = self.ready_weight() * MOST_HELD_BACK;
-        for (hurt, id) in hurts.iter().filter(|h| h.0 > par + STANDS_OUT) {
-            let server = self.servers.get_mut(id).expect("a listed server");
-            let down = if *hurt >= HOPELESS { server.rung + 3 } else { server.rung + 1 }.min(RUNGS.len() - 1);
+        for (hurt, id) in hurts {
+            let server = self.servers.get_mut(&id).expect("a listed server");
+            if hurt < par + STANDS_OUT + NOISE / server.tally.total().sqrt() {
+                continue;
+            }
+            let down = if hurt >= HOPELESS { server.rung + 3 } else { server.rung + 1 }.min(RUNGS.len() - 1);
             held_back += server.weight * (RUNGS[server.rung] - RUNGS[down]);
             if held_back > most {
                 break;
@@ -845,7 +863,8 @@
     }
 
     fn fade(&mut self) {
-        self.servers.values_mut().for_each(|s| s.tally.halve());
+        // By what came and not by the clock: a large fleet's reports are thin and come seconds apart.
+        self.servers.values_mut().filter(|s| s.tally.total() > PLENTY).for_each(|s| s.tally.halve());
         let pulse = &mut self.pulse;
         pulse.asked.iter_mut().for_each(|asked| *asked /= 2.0);
         (pulse.tries, pulse.answered) = (pulse.tries / 4.0, pulse.answered / 4.0);
--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -121,7 +121,8 @@
                 let id = f.text("server")?;
                 let (tries, bad) = (f.count("triesN")?, f.count("bad")?);
                 let took = Span::from_us(f.int_or("delaySeenUs", 0)?);
-                Box::new(move |rules| rules.met(now, id, tries, bad, took))
+                let over = Span::from_us(f.int_or("periodLenUs", 0)?);
+                Box::new(move |rules| rules.met(now, id, tries, bad, took, over))
             }
             "INGRESS" => {
                 let (product, txns) = (f.small("class")?, f.count("triesN")?);
