--- a/src/rules.rs
+++ b/src/rules.rs
@@ -50,7 +50,7 @@
 /// Parts of the waiting lines and messages that may be used, in all and by what can wait; messages kept back
 /// for drains; the part of its stated pace that a channel is trusted with until proxies say what has come.
 const MOST_LINES: f64 = 0.95;
-const ORDINARY_LINES: f64 = 0.2;
+const ORDINARY_LINES: f64 = 0.12;
 const ORDINARY_MESSAGES: f64 = 0.5;
 const BURST: usize = 3;
 const PACE_TRUSTED: f64 = 0.04;
@@ -153,6 +153,7 @@
     waiting: (f64, Moment),
     marks: VecDeque<(u32, f64, f64)>,
     marked: u32,
+    reply: (Moment, f64),
     least: f64,
 }
 
@@ -326,12 +327,13 @@
     }
 
     /// A marked message came to a proxy: it and all that was ordered before have left the channel.
-    pub fn applied(&mut self, number: u32) {
+    pub fn applied(&mut self, now: Moment, number: u32) {
+        let waiting = self.waiting(now);
         let channel = &mut self.channel;
         if let Some(at) = channel.marks.iter().position(|m| m.0 == number) {
             channel.marks.drain(..at);
             channel.marks[0].1 += channel.marks[0].2;
-            channel.waiting.0 = channel.waiting.0.min(channel.ordered - channel.marks[0].1);
+            channel.waiting = (waiting.min(channel.ordered - channel.marks[0].1), now);
         }
     }
 
@@ -411,14 +413,15 @@
     fn wanted(&mut self, now: Moment, number: u32) -> BTreeMap<Id, (f64, bool)> {
         let mut parts = self.parts(now);
         let Some(tbl) = self.tbls.get(&number) else { return BTreeMap::new() };
-        let far = |p: &Part| tbl.home.is_some_and(|home| home != p.zone);
+        let far = |p: &Part| tbl.home != Some(p.zone);
         if tbl.stays {
             parts.retain(|p| !far(p));
         }
-        parts.sort_by_cached_key(|p| {
-            (far(p), !tbl.lines.contains_key(&p.id), p.warmth < 1.0, Self::rank(&p.id, number))
-        });
-        let left_out = parts.split_off(parts.len().min(self.lines_most()));
+        parts.sort_by_cached_key(|p| Self::rank(&p.id, number));
+        let stays = |p: &Part| !far(p) || tbl.lines.contains_key(&p.id);
+        let mut more = self.lines_most().saturating_sub(parts.iter().filter(|p| stays(p)).count());
+        let (mut parts, left_out): (Vec<Part>, Vec<Part>) =
+            parts.into_iter().partition(|p| stays(p) || more > 0 && (more -= 1, true).1);
         if let Some(home) = tbl.home.filter(|_| !tbl.stays) {
             // In coarse steps, or each server held back would move every line of the other zones.
             let (stood, afar) = (tbl.afar, self.afar(home, &parts, &left_out));
@@ -609,14 +612,17 @@
 
     /// All that a moment orders. Where the queue is no longer short, the proxies are asked to tell what came.
     fn turn(&mut self, now: Moment) {
-        let before = self.channel.ordered;
-        self.channel.least = f64::INFINITY;
+        // A moment may hold several turns, but its messages leave in an order of their own.
+        if self.channel.reply.0 != now {
+            (self.channel.reply, self.channel.least) = ((now, self.channel.ordered), f64::INFINITY);
+        }
+        let (before, ordered) = (self.channel.reply.1, self.channel.ordered);
         // Binds can wait longest: each takes what a line to all would, and what it replaces is no worse.
         if !self.publish(now) {
             self.bind_waiting(now);
         }
         let most = self.charter.most_waiting;
-        if self.channel.ordered > before && most > 0.0 && self.waiting(now) > most * MARKED_FROM {
+        if self.channel.ordered > ordered && most > 0.0 && self.waiting(now) > most * MARKED_FROM {
             let messages = self.proxies.values().filter(|p| p.sent.back() == Some(&now)).count() as f64;
             let channel = &mut self.channel;
             channel.marked = (channel.marked + 1) % 65_536;
@@ -641,7 +647,11 @@
             (server.out, server.told) = (true, true);
             self.host.withdraw(id, true);
         }
-        for (proxy, lines, _) in self.strays(leaving.len()) {
+        self.tell_strays(now, leaving.len());
+    }
+
+    fn tell_strays(&mut self, now: Moment, withdrawals: usize) {
+        for (proxy, lines, _) in self.strays(withdrawals) {
             self.message(now, proxy, lines);
         }
     }
@@ -657,7 +667,7 @@
     }
 
     fn send(&mut self, now: Moment, number: u32, changes: Vec<(Id, f64, bool)>) {
-        let mut orders = 0;
+        let (mut orders, mut back) = (0, 0);
         let levels: Vec<(usize, f64)> = (0..self.levels.len()).map(|k| (k, self.admitted(k))).collect();
         let Some(tbl) = self.tbls.get_mut(&number) else { return };
         for (id, weight, _) in changes {
@@ -665,6 +675,7 @@
             if let Some(server) = self.servers.get_mut(&id).filter(|s| s.out && s.ready()) {
                 server.out = false;
                 self.host.withdraw(&id, false);
+                back += 1;
             }
             self.host.line(number, &id, weight);
             orders += 1;
@@ -683,6 +694,7 @@
         if orders > 0 {
             tbl.sent = now;
             self.count(now, orders, |p| p.bound.contains(&number));
+            self.tell_strays(now, back);
         }
     }
 
--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -153,7 +153,7 @@
             }
             "IN_FORCE" => {
                 let number = f.small("epoch")?;
-                Box::new(move |rules| rules.applied(number))
+                Box::new(move |rules| rules.applied(now, number))
             }
             // Nothing is decided by these: probes, demand by slice and peers' words.
             "STATUS_BACK" | "KEY_LOAD" | "INBOX" => return Ok(()),
