--- a/src/host.rs
+++ b/src/host.rs
@@ -10,10 +10,11 @@
 pub type Products = u64;
 
 /// What the list says of a server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Standing {
     Ready,
     Draining,
+    #[default]
     Gone,
 }
 
--- /dev/null
+++ b/src/ledger.rs
@@ -0,0 +1,100 @@
+//! What was ordered into a channel, and what is known to have left it: counted in lines, never judged.
+
+use crate::time::{Moment, Span};
+use std::collections::{BTreeMap, VecDeque};
+
+/// The messages of one moment, and the lines ordered before them or known to have come.
+#[derive(Debug)]
+struct Reply {
+    at: Moment,
+    number: u32,
+    before: f64,
+    lines: BTreeMap<u32, f64>,
+}
+
+/// ```
+/// use otterwinch::{ledger::Ledger, time::{Moment, Span}};
+/// let (mut ledger, now) = (Ledger::default(), Moment::from_us(5));
+/// ledger.note(now, 1, 4.0, 3.0, 0.0);
+/// ledger.note(now, 2, 2.0, 3.0, 0.0);
+/// let number = ledger.mark(now).unwrap();
+/// assert_eq!(ledger.waiting(now, 0.0), 14.0);
+/// ledger.came(now, number, 2, 0.0);
+/// assert_eq!(ledger.waiting(now, 0.0), 8.0);
+/// assert_eq!(ledger.messages(now, 1, Span::secs(1.0)), (1, Some(now)));
+/// ```
+#[derive(Debug, Default)]
+pub struct Ledger {
+    /// All lines ever ordered, heads and marks included.
+    pub ordered: f64,
+    waiting: (f64, Moment),
+    replies: VecDeque<Reply>,
+    sent: BTreeMap<u32, VecDeque<Moment>>,
+    numbered: u32,
+}
+
+impl Ledger {
+    /// Replies kept for an answer; an older one that never came is covered by any later one.
+    const KEPT: usize = 512;
+
+    /// The most that may still wait, if the channel sends at least so many lines a second.
+    pub fn waiting(&self, now: Moment, pace: f64) -> f64 {
+        (self.waiting.0 - (now - self.waiting.1).as_secs() * pace).max(0.0)
+    }
+
+    /// Lines for a proxy. Those of one moment make one message with one head.
+    pub fn note(&mut self, now: Moment, proxy: u32, lines: f64, head: f64, pace: f64) {
+        if self.replies.back().is_none_or(|reply| reply.at != now) {
+            let (before, lines) = (self.ordered, BTreeMap::new());
+            self.replies.push_back(Reply { at: now, number: 0, before, lines });
+            self.replies.drain(..self.replies.len().saturating_sub(Self::KEPT));
+        }
+        let Some(reply) = self.replies.back_mut() else { return };
+        let first = !reply.lines.contains_key(&proxy);
+        let lines = if first { lines + head } else { lines };
+        *reply.lines.entry(proxy).or_default() += lines;
+        if first {
+            self.sent.entry(proxy).or_default().push_back(now);
+        }
+        (self.waiting, self.ordered) = ((self.waiting(now, pace) + lines, now), self.ordered + lines);
+    }
+
+    /// Whether this moment has a message for the proxy already.
+    pub fn reaches(&self, now: Moment, proxy: u32) -> bool {
+        self.replies.back().is_some_and(|reply| reply.at == now && reply.lines.contains_key(&proxy))
+    }
+
+    /// A number for this moment's messages, each a line longer for it; nothing where there are none.
+    pub fn mark(&mut self, now: Moment) -> Option<u32> {
+        let reply = self.replies.back_mut().filter(|reply| reply.at == now)?;
+        if reply.number == 0 {
+            self.numbered = self.numbered % 65_535 + 1;
+            reply.number = self.numbered;
+        }
+        reply.lines.values_mut().for_each(|lines| *lines += 1.0);
+        let lines = reply.lines.len() as f64;
+        (self.waiting.0, self.ordered) = (self.waiting.0 + lines, self.ordered + lines);
+        Some(reply.number)
+    }
+
+    /// A marked message came: it and all that was ordered before its moment have left.
+    pub fn came(&mut self, now: Moment, number: u32, proxy: u32, pace: f64) {
+        if let Some(place) = self.replies.iter().position(|reply| reply.number == number) {
+            self.replies.drain(..place);
+            self.replies[0].before += self.replies[0].lines.remove(&proxy).unwrap_or(0.0);
+            let left = self.ordered - self.replies[0].before;
+            self.waiting = (self.waiting(now, pace).min(left), now);
+        }
+    }
+
+    /// Messages to a proxy within the last span, and the latest.
+    pub fn messages(&mut self, now: Moment, proxy: u32, over: Span) -> (usize, Option<Moment>) {
+        let sent = self.sent.entry(proxy).or_default();
+        sent.retain(|sent| now - *sent <= over);
+        (sent.len(), sent.back().copied())
+    }
+
+    pub fn left(&mut self, proxy: u32) {
+        self.sent.remove(&proxy);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod charter;
 pub mod histogram;
 pub mod host;
+pub mod ledger;
 pub mod rules;
 #[cfg(test)]
 mod testing;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -3,8 +3,8 @@
 //! at once through the `Host` handed to them by `open`: that interface is `host.rs`, what is read at start is
 //! `charter.rs`. Calls never nest, and a moment's orders travel together.
 //!
-//! The ordinary path is that of docs/design.md: few shared tables of all listed servers at listed weight,
-//! looked at every turn, only changes sent. `publish` is the one place where they go out. The guards: rule 1
+//! The ordinary path is that of docs/design.md: few shared tables of the listed servers at listed weight,
+//! looked at every turn, only changes sent. `turn` is the one place where they go out. The guards: rule 1
 //! `wanted` and `bind_waiting`, rule 2 `RETRY` and `publish_slices`, rule 3 `leaving` in `publish`, rule 4
 //! `warmth` and `eased`, rule 5 `room`.
 
@@ -12,8 +12,9 @@
 use crate::charter::{Admission, Charter, Product};
 use crate::histogram::Histogram;
 use crate::host::{Host, Id, Listing, Products, Retry, Standing};
+use crate::ledger::Ledger;
 use crate::time::{Moment, Span};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 const TURN: u64 = 1;
 const HEARTBEAT: u64 = 2;
@@ -50,21 +51,21 @@
 /// Parts of the waiting lines and messages that may be used, in all and by what can wait; messages kept back
 /// for drains; the part of its stated pace that a channel is trusted with until proxies say what has come.
 const MOST_LINES: f64 = 0.95;
-const ORDINARY_LINES: f64 = 0.12;
+const ORDINARY_LINES: f64 = 0.15;
 const ORDINARY_MESSAGES: f64 = 0.5;
 const BURST: usize = 3;
 const PACE_TRUSTED: f64 = 0.04;
 const MARKED_FROM: f64 = 0.05;
-/// The part of the fleet whose leaving at once must find room; the part of the grace's lines it may take; how
-/// many times as long as they take in the channel ordinary changes are gathered.
+/// The part of the fleet whose leaving at once must find room, and of the grace's lines it may take; how far
+/// above the mean chance may lie; the part of the fleet whose loss makes standing tables thin.
 const LEAVES_AT_ONCE: f64 = 0.2;
 const FOR_LEAVING: f64 = 0.9;
-const SPARING: f64 = 2.0;
+const CHANCE: f64 = 1.5;
 const THIN: f64 = 0.2;
-/// A change of a line goes out if it is this part of a mean line, for each second that its way takes.
+/// Changes are gathered for so many times their way through the channel; one goes out if it is so great a part
+/// of a mean line for each second that a line takes to all of a table.
+const SPARING: f64 = 2.0;
 const SLIGHT: f64 = 4.0;
-/// A standing table is drawn by chance: how much more than the mean of it may have to be told.
-const CHANCE: f64 = 1.5;
 
 /// Outcomes by band: answered within 0.4, 0.6, 1 and more of the SLA time, voided; how much each hurts.
 const BANDS: [f64; 3] = [0.4, 0.6, 1.0];
@@ -91,12 +92,14 @@
 const LEVEL_FLOOR: f64 = 0.1;
 const LEVEL_STEP: f64 = 0.05;
 
+#[derive(Default)]
 struct Server {
     zone: u32,
     weight: f64,
     standing: Standing,
     started: Option<Moment>,
     heard: Option<Moment>,
+    left: Moment,
     /// Withdrawn from proxies, and from all that have joined since.
     out: bool,
     told: bool,
@@ -104,7 +107,6 @@
     rung: usize,
     strikes: u32,
     judged: Moment,
-    left: Moment,
 }
 
 impl Server {
@@ -112,6 +114,13 @@
         self.standing == Standing::Ready
     }
 
+    fn stands(&mut self, now: Moment, standing: Standing) {
+        if self.ready() {
+            self.left = now;
+        }
+        self.standing = standing;
+    }
+
     fn move_to(&mut self, rung: usize, now: Moment) {
         (self.rung, self.judged, self.tally) = (rung, now, Histogram::default());
     }
@@ -129,6 +138,13 @@
     levels: BTreeMap<usize, f64>,
 }
 
+struct Change {
+    id: Id,
+    weight: f64,
+    urgent: bool,
+    gap: f64,
+}
+
 struct Part {
     id: Id,
     zone: u32,
@@ -142,19 +158,6 @@
     joined: Moment,
     fresh: bool,
     bound: BTreeSet<u32>,
-    sent: VecDeque<Moment>,
-}
-
-/// Lines ordered in all, how many may still wait at a moment, and the marked replies: number, lines ordered
-/// up to the last of its messages known to have come, and the least of its messages.
-#[derive(Default)]
-struct Channel {
-    ordered: f64,
-    waiting: (f64, Moment),
-    marks: VecDeque<(u32, f64, f64)>,
-    marked: u32,
-    reply: (Moment, f64),
-    least: f64,
 }
 
 #[derive(Default)]
@@ -190,8 +193,8 @@
     levels: Vec<f64>,
     pulse: Pulse,
     peak: f64,
-    channel: Channel,
-    /// When ordinary changes may go next, and when the next look at what waits is due.
+    ledger: Ledger,
+    /// When what can wait may go next, and when the next look at what found no room is due.
     gathered: Moment,
     again: Moment,
     heartbeat_set: bool,
@@ -216,7 +219,7 @@
             levels: vec![1.0; products],
             pulse: Pulse { asked: vec![0.0; products], ..Pulse::default() },
             peak: 0.0,
-            channel: Channel { waiting: (0.0, now), ..Channel::default() },
+            ledger: Ledger::default(),
             gathered: now,
             again: now,
             heartbeat_set: false,
@@ -230,38 +233,21 @@
     pub fn list_whole(&mut self, now: Moment, listings: &[Listing]) {
         let listed: BTreeSet<&Id> = listings.iter().map(|l| &l.id).collect();
         let dropped = self.servers.iter_mut().filter(|(id, _)| !listed.contains(id));
-        dropped.filter(|(_, server)| server.ready()).for_each(|(_, server)| server.left = now);
-        let dropped = self.servers.iter_mut().filter(|(id, _)| !listed.contains(id));
-        dropped.for_each(|(_, server)| server.standing = Standing::Gone);
+        dropped.for_each(|(_, server)| server.stands(now, Standing::Gone));
         self.list_changed(now, listings);
     }
 
     pub fn list_changed(&mut self, now: Moment, listings: &[Listing]) {
         for l in listings {
-            let server = self.servers.entry(l.id.clone()).or_insert(Server {
-                zone: l.zone,
-                weight: 0.0,
-                standing: Standing::Gone,
-                started: None,
-                heard: None,
-                out: false,
-                told: false,
-                tally: Histogram::default(),
-                rung: 0,
-                strikes: 0,
-                judged: now,
-                left: now,
-            });
+            let server = self.servers.entry(l.id.clone()).or_default();
             if l.started > server.started {
                 server.move_to(0, now);
                 (server.started, server.strikes) = (l.started, 0);
             }
             // A listed server without a weight is still a server: rule 1 counts it.
             server.weight = if l.weight.is_finite() { l.weight.max(0.01) } else { 0.01 };
-            if server.ready() {
-                server.left = now;
-            }
-            (server.zone, server.standing) = (l.zone, l.standing);
+            server.zone = l.zone;
+            server.stands(now, l.standing);
         }
         self.peak = self.peak.max(self.ready_weight());
         self.turn(now);
@@ -283,8 +269,8 @@
 
     pub fn proxy_joined(&mut self, now: Moment, proxy: u32, zone: u32, rate: f64, fresh: bool) {
         let known = self.usual.insert(proxy, (zone, rate)).is_some();
-        let (bound, sent) = (BTreeSet::new(), VecDeque::new());
-        self.proxies.insert(proxy, Proxy { zone, rate, joined: now, fresh: fresh && !known, bound, sent });
+        let (fresh, bound) = (fresh && !known, BTreeSet::new());
+        self.proxies.insert(proxy, Proxy { zone, rate, joined: now, fresh, bound });
         self.lay_tbls(zone);
         // Rule 3: until it is bound it holds tables that are not ours, with servers that may have left.
         self.servers.values_mut().for_each(|s| s.told = false);
@@ -301,6 +287,7 @@
 
     pub fn proxy_left(&mut self, proxy: u32) {
         self.proxies.remove(&proxy);
+        self.ledger.left(proxy);
     }
 
     pub fn met(&mut self, now: Moment, id: &str, tries: f64, voided: f64, took: Span, over: Span) {
@@ -326,15 +313,9 @@
         }
     }
 
-    /// A marked message came to a proxy: it and all that was ordered before have left the channel.
-    pub fn applied(&mut self, now: Moment, number: u32) {
-        let waiting = self.waiting(now);
-        let channel = &mut self.channel;
-        if let Some(at) = channel.marks.iter().position(|m| m.0 == number) {
-            channel.marks.drain(..at);
-            channel.marks[0].1 += channel.marks[0].2;
-            channel.waiting = (waiting.min(channel.ordered - channel.marks[0].1), now);
-        }
+    /// A marked message came to a proxy.
+    pub fn applied(&mut self, now: Moment, number: u32, proxy: u32) {
+        self.ledger.came(now, number, proxy, self.pace());
     }
 
     pub fn woke(&mut self, now: Moment, label: u64) {
@@ -474,30 +455,29 @@
     }
 
     /// What differs from what stands, and whether it can't wait: servers that left, the first usable lines of
-    /// a table, a known server that came back cold. The widest gaps first.
-    fn changes(&mut self, now: Moment, number: u32) -> Vec<(Id, f64, bool)> {
+    /// a table, a known server that came back cold. The widest gaps first; slight ones are not worth their way.
+    fn changes(&mut self, now: Moment, number: u32) -> Vec<Change> {
         let wanted = self.wanted(now, number);
         if wanted.is_empty() && self.carried(now, number) {
             return Vec::new();
         }
-        let each = self.users(number) / self.charter.channel_rate.max(1.0) * SLIGHT;
-        let slight = wanted.values().map(|w| w.0).sum::<f64>() / wanted.len().max(1) as f64 * each;
+        let way = self.users(number) / self.charter.channel_rate.max(1.0);
+        let mean = wanted.values().map(|w| w.0).sum::<f64>() / wanted.len().max(1) as f64;
         let Some(tbl) = self.tbls.get_mut(&number) else { return Vec::new() };
         tbl.carried = None;
         let left = tbl.lines.iter().filter(|(id, _)| !wanted.contains_key(*id));
-        let mut changes: Vec<(Id, f64, bool, f64)> =
-            left.map(|(id, stands)| (id.clone(), 0.0, true, *stands)).collect();
+        let left = left.map(|(id, gap)| Change { id: id.clone(), weight: 0.0, urgent: true, gap: *gap });
+        let mut changes: Vec<Change> = left.collect();
         for (id, (weight, warm)) in wanted {
             let stands = tbl.lines.get(&id).copied().unwrap_or(0.0);
-            let off = (stands / weight).max(weight / stands);
-            let gap = (stands - weight).abs();
-            if off > STEP && (gap > slight || stands == 0.0) || warm && off > 1.001 && gap > slight {
+            let (off, gap) = ((stands / weight).max(weight / stands), (stands - weight).abs());
+            if (off > STEP || warm && off > 1.001) && (gap > mean * way * SLIGHT || stands == 0.0) {
                 let urgent = tbl.lines.is_empty() || !warm && stands > 2.0 * weight;
-                changes.push((id, weight, urgent, gap));
+                changes.push(Change { id, weight, urgent, gap });
             }
         }
-        changes.sort_by(|a, b| b.2.cmp(&a.2).then(b.3.total_cmp(&a.3)));
-        changes.into_iter().map(|(id, weight, urgent, _)| (id, weight, urgent)).collect()
+        changes.sort_by(|a, b| b.urgent.cmp(&a.urgent).then(b.gap.total_cmp(&a.gap)));
+        changes
     }
 
     /// A table that lost every server while some still report is carried for one heartbeat, or as long as
@@ -516,121 +496,100 @@
         self.tbls[&number].carried.is_some_and(|since| now - since < spell)
     }
 
-    /// One turn. What can't wait goes in pieces that fit and takes along what else has changed and fits; the
-    /// rest is gathered, the longer the more of the channel it takes. Tells whether something due found no room.
-    fn publish(&mut self, now: Moment) -> bool {
+    /// All that a moment orders. Where the queue is no longer short, the proxies are asked to tell what came.
+    fn turn(&mut self, now: Moment) {
         if self.charter.slices > 0 {
-            self.publish_slices(now);
-            return false;
+            return self.publish_slices(now);
         }
         // Standing tables are thinned by all that leaves: before one is bare its proxy must be bound.
-        let out = self.servers.values().filter(|s| !s.ready()).count() as f64;
-        let thin =
-            out > self.servers.len() as f64 * THIN && self.proxies.values().any(|p| p.bound.is_empty());
-        let due = now >= self.gathered && !thin;
-        let (mut changed, mut hasty) = (Vec::new(), Vec::new());
+        let lost = self.servers.values().filter(|s| !s.ready()).count() as f64;
+        let unbound = self.proxies.values().any(|p| p.bound.is_empty());
+        let thin = unbound && lost > self.servers.len() as f64 * THIN;
+        // Else binds can wait longest: each takes what a line to all would.
+        let late = self.publish(now, now >= self.gathered && !thin);
+        if !late || thin {
+            self.bind_waiting(now);
+        }
+        if late {
+            self.soon(now, ROOM_AGAIN);
+        }
+        if self.ledger.waiting(now, self.pace()) > self.charter.most_waiting * MARKED_FROM {
+            let number = self.ledger.mark(now);
+            number.into_iter().for_each(|number| self.host.mark(number));
+        }
+    }
+
+    /// What can't wait goes in pieces that fit and takes along what else has changed and fits; the rest is
+    /// gathered, the longer the more of the channel it takes. Tells whether something found no room.
+    fn publish(&mut self, now: Moment, due: bool) -> bool {
+        let (mut changed, mut hasty) = (Vec::new(), BTreeSet::new());
         for number in self.tbls.keys().copied().collect::<Vec<_>>() {
-            let changes = self.changes(now, number);
-            if self.users(number) > 0.0 {
-                hasty.extend(changes.iter().filter(|c| c.2).map(|c| c.0.clone()));
-                changed.push((number, changes));
+            let (changes, users) = (self.changes(now, number), self.users(number));
+            if users > 0.0 {
+                // Who left first goes first.
+                let left = |id| self.servers.get(id).map(|s| s.left);
+                hasty.extend(changes.iter().filter(|c| c.urgent).map(|c| (left(&c.id), c.id.clone())));
+                changed.push((number, users, changes));
             } else {
                 self.send(now, number, changes);
             }
         }
-        // Who left first goes first; many small pieces would cost more in heads than they carry.
-        hasty.sort_by_cached_key(|id| (self.servers.get(id).map(|s| s.left), id.clone()));
-        hasty.dedup();
-        let most = self.lines_may_wait(true);
-        let room =
-            if self.fits(now, true, |p| !p.bound.is_empty()) > 0 { most - self.waiting(now) } else { 0.0 };
-        let cost = |piece: &[Id]| -> f64 {
-            let piece: BTreeSet<&Id> = piece.iter().collect();
-            let lines =
-                |changes: &[(Id, f64, bool)]| changes.iter().filter(|c| piece.contains(&c.0)).count() as f64;
-            let one =
-                |(number, c): &(u32, Vec<_>)| self.users(*number) * (self.charter.message_head + lines(c));
-            if piece.is_empty() {
-                0.0
-            } else {
-                changed.iter().map(one).sum()
-            }
-        };
-        let whole = hasty.len();
-        while !hasty.is_empty() && cost(&hasty) > room {
-            hasty.truncate(hasty.len() * 3 / 4);
-        }
-        let mut late = hasty.len() < whole;
-        if late && cost(&hasty) < most / 2.0 {
-            hasty.clear();
-        }
-        let before = self.channel.ordered + cost(&hasty);
-        let hasty: BTreeSet<Id> = hasty.into_iter().collect();
+        let (head, hasty) = (self.charter.message_head, hasty.into_iter().map(|h| h.1).collect::<Vec<Id>>());
+        let goes = |n: usize, c: &Change| c.urgent && hasty[..n].contains(&c.id);
+        let lines = |n, c: &Vec<Change>| c.iter().filter(|c| goes(n, c)).count() as f64;
+        let cost = |n| changed.iter().map(|(_, users, c)| users * (head + lines(n, c))).sum::<f64>();
+        let mut n = Self::piece(hasty.len(), self.room(now, true, |p| !p.bound.is_empty()), cost);
+        // Many small pieces would cost more in heads than they carry.
+        if n < hasty.len() && cost(n) < self.charter.most_waiting / 2.0 {
+            n = 0;
+        }
+        let paid = self.ledger.ordered + if n > 0 { cost(n) } else { 0.0 };
+        let mut late = n < hasty.len();
         // The table that has waited longest first, or one that always changes would take all the room.
-        changed.sort_by_key(|(number, _)| self.tbls[number].sent);
-        for (number, mut changes) in changed {
-            let goes = |c: &(Id, f64, bool)| c.2 && hasty.contains(&c.0);
-            let urgent = changes.iter().filter(|c| goes(c)).count();
+        changed.sort_by_key(|(number, ..)| self.tbls[number].sent);
+        for (number, users, mut changes) in changed {
+            let urgent = changes.iter().filter(|c| goes(n, c)).count();
+            let rest = changes.len() - urgent;
             if !due && urgent == 0 {
-                if !changes.is_empty() && !thin {
+                if rest > 0 && self.gathered > now {
                     self.soon(now, self.gathered - now);
                 }
                 continue;
             }
-            let fits = self.fits(now, false, |p| p.bound.contains(&number));
-            let mut more = fits.saturating_sub(urgent + self.levels.len());
-            let whole = changes.len() - urgent;
-            late |= more < whole;
-            if more < whole && (more as f64) < self.charter.message_head && urgent == 0 {
+            let room = self.room(now, false, |p| p.bound.contains(&number)) / users;
+            let room = room - if urgent == 0 { head } else { urgent as f64 } - self.levels.len() as f64;
+            late |= (room as usize) < rest;
+            if urgent == 0 && (room < 0.0 || (room as usize) < rest && room < head) {
                 continue;
             }
-            changes.retain(|c| goes(c) || !c.2 && more > 0 && (more -= 1, true).1);
-            if fits > 0 || urgent > 0 {
-                self.send(now, number, changes);
-            }
+            let mut more = room as usize;
+            changes.retain(|c| goes(n, c) || !c.urgent && more > 0 && (more -= 1, true).1);
+            self.send(now, number, changes);
         }
-        let took = (self.channel.ordered - before) / self.charter.channel_rate.max(1.0);
+        let took = (self.ledger.ordered - paid) / self.charter.channel_rate.max(1.0);
         if took > 0.0 {
             self.gathered = now + GATHER.max(Span::secs(took * SPARING));
         }
         // After the lines: a withdrawal costs nothing at proxies whose table has just lost the server.
-        let mut leaving = self.leaving();
-        let room = self.lines_may_wait(true) - self.waiting(now);
-        let may = self.fits(now, true, |p| p.bound.is_empty()) > 0;
-        while !leaving.is_empty()
-            && (!may || self.strays(leaving.len()).iter().map(|s| s.2).sum::<f64>() > room)
-        {
-            leaving.truncate(leaving.len() / 2);
-            late = true;
-        }
-        self.withdraw(now, &leaving);
-        if late {
-            self.soon(now, ROOM_AGAIN);
+        let leaving = self.leaving();
+        let room = self.room(now, true, |p| p.bound.is_empty());
+        let n = Self::piece(leaving.len(), room, |n| self.strays(n).iter().map(|s| s.1 + s.2).sum());
+        for id in &leaving[..n] {
+            let server = self.servers.get_mut(id).expect("a listed server");
+            (server.out, server.told) = (true, true);
+            self.host.withdraw(id, true);
         }
-        late
+        self.tell_strays(now, n);
+        late || n < leaving.len()
     }
 
-    /// All that a moment orders. Where the queue is no longer short, the proxies are asked to tell what came.
-    fn turn(&mut self, now: Moment) {
-        // A moment may hold several turns, but its messages leave in an order of their own.
-        if self.channel.reply.0 != now {
-            (self.channel.reply, self.channel.least) = ((now, self.channel.ordered), f64::INFINITY);
-        }
-        let (before, ordered) = (self.channel.reply.1, self.channel.ordered);
-        // Binds can wait longest: each takes what a line to all would, and what it replaces is no worse.
-        if !self.publish(now) {
-            self.bind_waiting(now);
-        }
-        let most = self.charter.most_waiting;
-        if self.channel.ordered > ordered && most > 0.0 && self.waiting(now) > most * MARKED_FROM {
-            let messages = self.proxies.values().filter(|p| p.sent.back() == Some(&now)).count() as f64;
-            let channel = &mut self.channel;
-            channel.marked = (channel.marked + 1) % 65_536;
-            self.host.mark(channel.marked);
-            channel.marks.push_back((channel.marked, before, channel.least));
-            channel.ordered += messages;
-            channel.waiting.0 += messages;
+    /// The largest piece of so many that fits, coarsely.
+    fn piece(whole: usize, room: f64, cost: impl Fn(usize) -> f64) -> usize {
+        let mut n = whole;
+        while n > 0 && cost(n) > room {
+            n = n * 3 / 4;
         }
+        n
     }
 
     /// Rule 3: what drains or is gone, is in no table and not withdrawn from all. Only a withdrawal reaches
@@ -641,36 +600,27 @@
         left.map(|(id, _)| id.clone()).collect()
     }
 
-    fn withdraw(&mut self, now: Moment, leaving: &[Id]) {
-        for id in leaving {
-            let server = self.servers.get_mut(id).expect("a listed server");
-            (server.out, server.told) = (true, true);
-            self.host.withdraw(id, true);
-        }
-        self.tell_strays(now, leaving.len());
+    /// Unbound proxies with the lines and the head that so many withdrawals cost each. A standing table holds
+    /// few servers, drawn by chance; one that was laid on an earlier stream may hold them all.
+    fn strays(&self, withdrawals: usize) -> Vec<(u32, f64, f64)> {
+        let drawn = f64::from(self.charter.standing_most) / self.servers.len().max(1) as f64 * CHANCE;
+        let lines = |p: &Proxy| withdrawals as f64 * if p.fresh { drawn.min(1.0) } else { 1.0 };
+        let unbound = self.proxies.iter().filter(|(_, p)| p.bound.is_empty() && withdrawals > 0);
+        unbound.map(|(n, p)| (*n, lines(p), self.charter.message_head * lines(p).min(1.0))).collect()
     }
 
     fn tell_strays(&mut self, now: Moment, withdrawals: usize) {
-        for (proxy, lines, _) in self.strays(withdrawals) {
-            self.message(now, proxy, lines);
+        let pace = self.pace();
+        for (proxy, lines, head) in self.strays(withdrawals) {
+            self.ledger.note(now, proxy, lines, head, pace);
         }
     }
 
-    /// Unbound proxies, the lines that so many withdrawals cost each, heads aside and with them. A standing table
-    /// holds few servers, drawn by chance; one that was laid on an earlier stream may hold them all.
-    fn strays(&self, leaving: usize) -> Vec<(u32, f64, f64)> {
-        let drawn = f64::from(self.charter.standing_most) / self.servers.len().max(1) as f64 * CHANCE;
-        let lines = |p: &Proxy| leaving as f64 * if p.fresh { drawn.min(1.0) } else { 1.0 };
-        let cost = |lines: f64| lines + self.charter.message_head * lines.min(1.0);
-        let unbound = self.proxies.iter().filter(|(_, p)| p.bound.is_empty());
-        unbound.map(|(n, p)| (*n, lines(p), cost(lines(p)))).collect()
-    }
-
-    fn send(&mut self, now: Moment, number: u32, changes: Vec<(Id, f64, bool)>) {
+    fn send(&mut self, now: Moment, number: u32, changes: Vec<Change>) {
         let (mut orders, mut back) = (0, 0);
         let levels: Vec<(usize, f64)> = (0..self.levels.len()).map(|k| (k, self.admitted(k))).collect();
         let Some(tbl) = self.tbls.get_mut(&number) else { return };
-        for (id, weight, _) in changes {
+        for Change { id, weight, .. } in changes {
             // One that returns is let back in with its first line, not before: until then it may be cold.
             if let Some(server) = self.servers.get_mut(&id).filter(|s| s.out && s.ready()) {
                 server.out = false;
@@ -679,12 +629,9 @@
             }
             self.host.line(number, &id, weight);
             orders += 1;
-            if weight > 0.0 {
-                tbl.lines.insert(id, weight);
-            } else {
-                tbl.lines.remove(&id);
-            }
+            tbl.lines.insert(id, weight);
         }
+        tbl.lines.retain(|_, weight| *weight > 0.0);
         for (k, level) in levels.into_iter().filter(|(k, _)| tbl.products & (1 << k) != 0) {
             if tbl.levels.insert(k, level) != Some(level) {
                 self.host.level(number, 1 << k, level, RETRY);
@@ -693,7 +640,10 @@
         }
         if orders > 0 {
             tbl.sent = now;
-            self.count(now, orders, |p| p.bound.contains(&number));
+            let pace = self.pace();
+            for (proxy, _) in self.proxies.iter().filter(|(_, p)| p.bound.contains(&number)) {
+                self.ledger.note(now, *proxy, f64::from(orders), self.charter.message_head, pace);
+            }
             self.tell_strays(now, back);
         }
     }
@@ -719,33 +669,32 @@
     /// has stands meanwhile. One that was served before gets no part of its tables; one never served waits for
     /// all within a budget. Those with the least to go by, then those with most traffic, come first.
     fn bind_waiting(&mut self, now: Moment) {
-        let (mut held, most) = (false, self.lines_may_wait(false));
+        let (mut held, most, pace) = (false, self.lines_may_wait(false), self.pace());
         let waits = |(n, p): (&u32, &Proxy)| {
-            let missing = self.tbls_of(p.zone).into_iter().filter(|t| !p.bound.contains(t));
-            let missing: Vec<u32> = missing.collect();
+            let missing: Vec<u32> =
+                self.tbls_of(p.zone).into_iter().filter(|t| !p.bound.contains(t)).collect();
             (!missing.is_empty()).then_some((!p.fresh, -p.rate, *n, missing))
         };
         let mut queue: Vec<(bool, f64, u32, Vec<u32>)> = self.proxies.iter().filter_map(waits).collect();
         queue.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-        for (_, _, proxy, missing) in queue {
+        for (_, _, proxy, mut missing) in queue {
             let p = &self.proxies[&proxy];
-            let in_budget = !p.fresh || now - p.joined < JOIN_BUDGET;
             let partial = missing.iter().any(|number| !self.usable(*number));
             held |= partial;
-            let binds: Vec<u32> =
-                missing.into_iter().filter(|t| self.usable(*t) && (!partial || !in_budget)).collect();
-            let tbls = binds.iter().map(|number| &self.tbls[number]);
-            let lines: usize = tbls.map(|tbl| tbl.lines.len() + tbl.levels.len() + 1).sum();
-            let waiting = self.waiting(now);
-            if lines > 0 && waiting > 1.0 && waiting + self.charter.message_head + lines as f64 > most {
+            let whole = !p.fresh || now - p.joined < JOIN_BUDGET;
+            missing.retain(|number| self.usable(*number) && (!partial || !whole));
+            let lines = |number: &u32| self.tbls[number].lines.len() + self.tbls[number].levels.len() + 1;
+            let (lines, head) = (missing.iter().map(lines).sum::<usize>() as f64, self.charter.message_head);
+            let waiting = self.ledger.waiting(now, pace);
+            if lines > 0.0 && waiting > 1.0 && waiting + head + lines > most {
                 self.soon(now, ROOM_AGAIN);
                 break;
             }
-            for number in binds {
+            for number in missing {
                 self.host.bind(proxy, number, self.tbls[&number].products);
                 self.proxies.get_mut(&proxy).expect("just read").bound.insert(number);
+                self.ledger.note(now, proxy, lines, head, pace);
             }
-            self.message(now, proxy, lines as f64);
         }
         if held && !self.heartbeat_set {
             self.heartbeat_set = true;
@@ -754,9 +703,8 @@
         }
     }
 
-    fn waiting(&self, now: Moment) -> f64 {
-        let (waiting, then) = self.channel.waiting;
-        (waiting - (now - then).as_secs() * self.charter.channel_rate * PACE_TRUSTED).max(0.0)
+    fn pace(&self) -> f64 {
+        self.charter.channel_rate * PACE_TRUSTED
     }
 
     /// The lines that the channel carries within the grace, once they left the module.
@@ -764,76 +712,55 @@
         (self.charter.drain_grace - self.charter.way_most).as_secs() * self.charter.channel_rate * FOR_LEAVING
     }
 
+    fn bounded(&self) -> bool {
+        self.charter.most_waiting > 0.0 && self.charter.channel_rate > 0.0
+    }
+
     /// How many lines a table may hold so that a part of the fleet can leave all proxies within the grace.
     fn lines_most(&self) -> usize {
         let each = self.in_grace() / f64::from(self.charter.proxies.max(1)) - self.charter.message_head;
-        if self.charter.channel_rate <= 0.0 {
-            usize::MAX
-        } else {
+        if self.bounded() {
             (each / LEAVES_AT_ONCE).max(1.0) as usize
+        } else {
+            usize::MAX
         }
     }
 
     /// Lines that may wait. What can wait leaves room for a part of the fleet to leave, within the grace.
     fn lines_may_wait(&self, urgent: bool) -> f64 {
         let most = self.charter.most_waiting * MOST_LINES;
-        let lines = |p: &Proxy| -> usize { p.bound.iter().map(|number| self.tbls[number].lines.len()).sum() };
-        let leave = |p| self.charter.message_head + lines(p) as f64 * LEAVES_AT_ONCE;
-        if self.charter.most_waiting <= 0.0 || self.charter.channel_rate <= 0.0 {
-            f64::INFINITY
-        } else if urgent {
-            most
-        } else {
-            (most.min(self.in_grace()) - self.proxies.values().map(leave).sum::<f64>() * CHANCE)
-                .max(most * ORDINARY_LINES)
+        let lines =
+            |p: &Proxy| p.bound.iter().map(|number| self.tbls[number].lines.len()).sum::<usize>() as f64;
+        let leave = |p| self.charter.message_head + lines(p) * LEAVES_AT_ONCE;
+        let kept = || self.proxies.values().map(leave).sum::<f64>() * CHANCE;
+        match (self.bounded(), urgent) {
+            (false, _) => f64::INFINITY,
+            (_, true) => most,
+            _ => (most.min(self.in_grace()) - kept()).max(most * ORDINARY_LINES),
         }
     }
 
-    /// How many lines for each of some proxies fit. What can't wait goes at once a few times, then at a pace
-    /// that the limit of messages bears for ever.
-    fn fits(&mut self, now: Moment, urgent: bool, which: impl Fn(&Proxy) -> bool) -> usize {
+    /// The lines that fit for some proxies in all, heads included. What can't wait goes at once a few times,
+    /// then at a pace that the limit of messages bears for ever.
+    fn room(&mut self, now: Moment, urgent: bool, which: impl Fn(&Proxy) -> bool) -> f64 {
         let (over, most) = (self.charter.messages_over, self.charter.messages_most as usize);
         let pace = over * (1.0 / most.saturating_sub(BURST).max(1) as f64);
-        let (mut proxies, mut heads) = (0, 0);
-        for p in self.proxies.values_mut().filter(|p| which(p)) {
-            p.sent.retain(|sent| now - *sent <= over);
-            let (count, last) = (p.sent.len(), p.sent.back().copied());
+        let mut proxies = 0.0;
+        for (proxy, _) in self.proxies.iter().filter(|(_, p)| which(p)) {
+            let (count, last) = self.ledger.messages(now, *proxy, over);
             let fits = last == Some(now)
                 || count == 0
                 || !urgent && (count as f64) < most as f64 * ORDINARY_MESSAGES
                 || urgent && count < most && (count < BURST || last.is_some_and(|last| now - last >= pace));
             if most > 0 && !fits {
-                return 0;
+                return 0.0;
             }
-            proxies += 1;
-            heads += usize::from(last != Some(now));
+            proxies += 1.0;
         }
-        let room = self.lines_may_wait(urgent) - self.waiting(now) - heads as f64 * self.charter.message_head;
-        let least = if !urgent && self.waiting(now) < 1.0 { 1.0 + self.levels.len() as f64 } else { 0.0 };
-        if proxies == 0 {
-            usize::MAX
-        } else {
-            (room / proxies as f64).max(least) as usize
-        }
-    }
-
-    fn message(&mut self, now: Moment, proxy: u32, lines: f64) {
-        let Some(p) = self.proxies.get_mut(&proxy).filter(|_| lines > 0.0) else { return };
-        let mut lines = lines;
-        if p.sent.back() != Some(&now) {
-            p.sent.push_back(now);
-            lines += self.charter.message_head * lines.min(1.0);
-            self.channel.least = self.channel.least.min(lines);
-        }
-        let waiting = self.waiting(now) + lines;
-        let channel = &mut self.channel;
-        (channel.ordered, channel.waiting) = (channel.ordered + lines, (waiting, now));
-    }
-
-    /// So many lines for each of some proxies.
-    fn count(&mut self, now: Moment, lines: usize, which: impl Fn(&Proxy) -> bool) {
-        let proxies: Vec<u32> = self.proxies.iter().filter(|(_, p)| which(p)).map(|(n, _)| *n).collect();
-        proxies.into_iter().for_each(|proxy| self.message(now, proxy, lines as f64));
+        let waiting = self.ledger.waiting(now, self.pace());
+        // Whatever the limits, an idle channel takes a line to all.
+        let least = proxies * (self.charter.message_head + self.levels.len() as f64 + 1.0);
+        (self.lines_may_wait(urgent) - waiting).max(if waiting < 1.0 { least } else { 0.0 })
     }
 
     /// A server that hurts more than its peers goes down a rung, whatever the cause: slow, failing, hung, cut
@@ -918,9 +845,7 @@
     }
 
     pub fn slice_line(&mut self, slice: u32, id: &Id, weight: f64) {
-        if let Some(held) = self.slices.get_mut(&slice) {
-            held.lines.insert(id.clone(), weight);
-        }
+        self.slices.entry(slice).or_default().lines.insert(id.clone(), weight);
     }
 
     pub fn slice_taken(&mut self, slice: u32) {
@@ -929,16 +854,14 @@
 
     /// A slice stays where it is while a server of its table is usable; else it goes to one drawn by weight.
     fn publish_slices(&mut self, now: Moment) {
-        let leaving = self.leaving();
-        self.withdraw(now, &leaving);
-        for (id, server) in self.servers.iter_mut().filter(|(_, s)| s.out && s.ready()) {
-            server.out = false;
-            self.host.withdraw(id, false);
+        for (id, server) in self.servers.iter_mut().filter(|(_, s)| s.out == s.ready()) {
+            server.out = !server.ready();
+            self.host.withdraw(id, server.out);
         }
         let usable = self.eased(self.parts(now));
         let writes = self.products(|p| p.writes);
         let in_hand = self.charter.way_most + self.charter.lease + self.charter.settle;
-        let whole: f64 = usable.values().map(|u| u.0).sum();
+        let (whole, one) = (usable.values().map(|u| u.0).sum::<f64>(), self.charter.single_writer);
         for (&number, slice) in self.slices.iter_mut() {
             if slice.moving.is_none() && slice.lines.keys().any(|id| usable.contains_key(id)) {
                 continue;
@@ -946,7 +869,7 @@
             let mut drawn = whole * self.chance.unit();
             let mut lines = usable.iter();
             let Some((id, _)) = lines.find(|(_, u)| (drawn -= u.0, drawn < 0.0).1) else { continue };
-            if self.charter.single_writer && !slice.lines.is_empty() {
+            if one && !slice.lines.is_empty() {
                 // Rule 2: writes stop, and those in hand or still sent on a lease end, before another owns.
                 let since = *slice.moving.get_or_insert(now);
                 if since == now {
@@ -958,7 +881,7 @@
                 slice.moving = None;
                 self.host.level(number, writes, 1.0, RETRY);
             }
-            for old in std::mem::take(&mut slice.lines).into_keys().filter(|_| !self.charter.single_writer) {
+            for old in std::mem::take(&mut slice.lines).into_keys().filter(|_| !one) {
                 self.host.line(number, &old, 0.0);
             }
             self.host.line(number, id, 1.0);
--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -152,8 +152,8 @@
                 })
             }
             "IN_FORCE" => {
-                let number = f.small("epoch")?;
-                Box::new(move |rules| rules.applied(now, number))
+                let (number, px) = (f.small("epoch")?, f.small("px")?);
+                Box::new(move |rules| rules.applied(now, number, px))
             }
             // Nothing is decided by these: probes, demand by slice and peers' words.
             "STATUS_BACK" | "KEY_LOAD" | "INBOX" => return Ok(()),
