--- a/src/rules.rs
+++ b/src/rules.rs
@@ -74,8 +74,8 @@
 /// What a troubled server keeps of its weight, and how far above the fleet's hurt it must stand.
 const RUNGS: [f64; 6] = [1.0, 0.75, 0.55, 0.35, 0.15, 0.04];
 const ENOUGH: f64 = 6.0;
-const PLENTY: f64 = 20.0;
-const NOISE: f64 = 0.5;
+const PLENTY: f64 = 0.0;
+const NOISE: f64 = 0.0;
 const STANDS_OUT: f64 = 0.2;
 const AT_PAR: f64 = 0.08;
 const HOPELESS: f64 = 0.7;
