--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod host;
 pub mod ledger;
 pub mod rules;
+mod state;
 #[cfg(test)]
 mod testing;
 pub mod time;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -9,18 +9,18 @@
 //! `warmth` and `eased`, rule 5 `room`.
 
 use crate::chance::Chance;
-use crate::charter::{Admission, Charter, Product};
+use crate::charter::{Admission, Charter};
 use crate::histogram::Histogram;
 use crate::host::{Host, Id, Listing, Products, Retry, Standing};
 use crate::ledger::Ledger;
+use crate::state::{Change, Part, Proxy, Pulse, Server, Slice, Tbl};
 use crate::time::{Moment, Span};
 use std::collections::{BTreeMap, BTreeSet};
 
 const TURN: u64 = 1;
 const HEARTBEAT: u64 = 2;
 const SUBSCRIBE: u64 = 3;
-const AGAIN: u64 = 4;
-const CARRIED: u64 = 5;
+const LOOK: u64 = 4;
 
 /// The design's open values: the gathering of changes, the heartbeat, the budget of a first join.
 const GATHER: Span = Span::from_us(1_000_000);
@@ -28,16 +28,16 @@
 const JOIN_BUDGET: Span = Span::from_us(5_000_000);
 const JOINS_GATHERED: Span = Span::from_us(150_000);
 const SUBSCRIBE_AGAIN: Span = Span::from_us(700_000);
-const ROOM_AGAIN: Span = Span::from_us(50_000);
+const LOOK_AGAIN: Span = Span::from_us(50_000);
 
-/// New servers start at `RAMP_FROM` of their weight; a warming line is sent when it is off by `STEP`.
+/// New servers start at `RAMP_FROM` of their weight; a warming line is sent when it is off by `STEP`. The ramp
+/// stays under an even warm-up: a storm finds a cold server with any spare it was given.
 const RAMP_FROM: f64 = 0.1;
-/// A storm finds a cold server with any spare it was given: the ramp stays under an even warm-up.
 const RAMP_BEND: f64 = 1.3;
 const STEP: f64 = 1.25;
-/// How much more a table's warm servers may get so that its cold ones get less.
+/// How much more a table's warm servers may get so that its cold ones get less; under which part of its weight
+/// a new server stays out of a struggling fleet whose proxies shun.
 const WARM_BEARS: f64 = 2.0;
-/// Under this part of its weight a new server stays out of a struggling fleet whose proxies shun.
 const YOUNG: f64 = 0.35;
 
 /// Where crossing zones costs: the most that stays at home, and how far off the rest may stand.
@@ -74,8 +74,6 @@
 /// What a troubled server keeps of its weight, and how far above the fleet's hurt it must stand.
 const RUNGS: [f64; 6] = [1.0, 0.75, 0.55, 0.35, 0.15, 0.04];
 const ENOUGH: f64 = 6.0;
-const PLENTY: f64 = 0.0;
-const NOISE: f64 = 0.0;
 const STANDS_OUT: f64 = 0.2;
 const AT_PAR: f64 = 0.08;
 const HOPELESS: f64 = 0.7;
@@ -92,94 +90,6 @@
 const LEVEL_FLOOR: f64 = 0.1;
 const LEVEL_STEP: f64 = 0.05;
 
-#[derive(Default)]
-struct Server {
-    zone: u32,
-    weight: f64,
-    standing: Standing,
-    started: Option<Moment>,
-    heard: Option<Moment>,
-    left: Moment,
-    /// Withdrawn from proxies, and from all that have joined since.
-    out: bool,
-    told: bool,
-    tally: Histogram<5>,
-    rung: usize,
-    strikes: u32,
-    judged: Moment,
-}
-
-impl Server {
-    fn ready(&self) -> bool {
-        self.standing == Standing::Ready
-    }
-
-    fn stands(&mut self, now: Moment, standing: Standing) {
-        if self.ready() {
-            self.left = now;
-        }
-        self.standing = standing;
-    }
-
-    fn move_to(&mut self, rung: usize, now: Moment) {
-        (self.rung, self.judged, self.tally) = (rung, now, Histogram::default());
-    }
-}
-
-#[derive(Default)]
-struct Tbl {
-    home: Option<u32>,
-    stays: bool,
-    products: Products,
-    lines: BTreeMap<Id, f64>,
-    afar: f64,
-    carried: Option<Moment>,
-    sent: Moment,
-    levels: BTreeMap<usize, f64>,
-}
-
-struct Change {
-    id: Id,
-    weight: f64,
-    urgent: bool,
-    gap: f64,
-}
-
-struct Part {
-    id: Id,
-    zone: u32,
-    weight: f64,
-    warmth: f64,
-}
-
-struct Proxy {
-    zone: u32,
-    rate: f64,
-    joined: Moment,
-    fresh: bool,
-    bound: BTreeSet<u32>,
-}
-
-#[derive(Default)]
-struct Slice {
-    lines: BTreeMap<Id, f64>,
-    moving: Option<Moment>,
-}
-
-/// What came and what was answered over the last seconds, fading, and what is made of it.
-#[derive(Default)]
-struct Pulse {
-    asked: Vec<f64>,
-    tries: f64,
-    answered: f64,
-    served: f64,
-    over: Span,
-    middle: f64,
-    struggling: bool,
-    budget: Option<f64>,
-    shed: Moment,
-}
-
 pub struct Rules<H: Host> {
     host: H,
     charter: Charter,
@@ -194,9 +104,9 @@
     pulse: Pulse,
     peak: f64,
     ledger: Ledger,
-    /// When what can wait may go next, and when the next look at what found no room is due.
+    /// When what can wait may go next.
     gathered: Moment,
-    again: Moment,
+    look_set: bool,
     heartbeat_set: bool,
 }
 
@@ -221,7 +131,7 @@
             peak: 0.0,
             ledger: Ledger::default(),
             gathered: now,
-            again: now,
+            look_set: false,
             heartbeat_set: false,
         }
     }
@@ -269,19 +179,21 @@
 
     pub fn proxy_joined(&mut self, now: Moment, proxy: u32, zone: u32, rate: f64, fresh: bool) {
         let known = self.usual.insert(proxy, (zone, rate)).is_some();
-        let (fresh, bound) = (fresh && !known, BTreeSet::new());
-        self.proxies.insert(proxy, Proxy { zone, rate, joined: now, fresh, bound });
-        self.lay_tbls(zone);
+        // Where crossing zones costs or is barred, each zone's proxies have a table of their own.
+        let zoned = self.charter.crossing_costs || self.charter.products.iter().any(|p| p.own_zone);
+        let (tbl, home) = if zoned { (1 + zone, Some(zone)) } else { (0, None) };
+        let fresh = fresh && !known;
+        self.proxies.insert(proxy, Proxy { rate, joined: now, fresh, tbl, bound: false });
+        self.tbls.entry(tbl).or_insert(Tbl { home, afar: 1.0, ..Tbl::default() });
         // Rule 3: until it is bound it holds tables that are not ours, with servers that may have left.
         self.servers.values_mut().for_each(|s| s.told = false);
-        // Many join within a moment, and what a zone keeps at home depends on all of them.
-        self.soon(now, JOINS_GATHERED);
+        self.look();
     }
 
-    fn soon(&mut self, now: Moment, after: Span) {
-        if self.again <= now || self.again > now + after {
-            self.again = now + after;
-            self.host.wake(after, AGAIN);
+    /// Something waits for room or for its time.
+    fn look(&mut self) {
+        if !std::mem::replace(&mut self.look_set, true) {
+            self.host.wake(LOOK_AGAIN, LOOK);
         }
     }
 
@@ -322,6 +234,7 @@
         match label {
             SUBSCRIBE => return self.host.follow_list(),
             HEARTBEAT => self.heartbeat_set = false,
+            LOOK => self.look_set = false,
             TURN => {
                 self.pulse.over = self.pulse.over + GATHER;
                 self.judge(now);
@@ -336,32 +249,6 @@
 
     // ---- tables ----
 
-    /// A zone's proxies use one table for all zones, or one of their own where crossing costs, and a further
-    /// one for products that must stay in the zone.
-    fn numbers(&self, zone: u32) -> [(u32, Option<u32>, bool); 2] {
-        let shared = if self.charter.crossing_costs { (2 + 2 * zone, Some(zone)) } else { (0, None) };
-        [(shared.0, shared.1, false), (3 + 2 * zone, Some(zone), true)]
-    }
-
-    fn tbls_of(&self, zone: u32) -> Vec<u32> {
-        self.numbers(zone).iter().map(|t| t.0).filter(|number| self.tbls.contains_key(number)).collect()
-    }
-
-    fn products(&self, which: impl Fn(&Product) -> bool) -> Products {
-        let rows = self.charter.products.iter().enumerate().filter(|(_, p)| which(p));
-        rows.fold(0, |set, (k, _)| set | 1 << k)
-    }
-
-    fn lay_tbls(&mut self, zone: u32) {
-        for (number, home, stays) in self.numbers(zone) {
-            let products = self.products(|p| p.own_zone == stays);
-            if products != 0 && self.charter.slices == 0 {
-                let tbl = Tbl { home, stays, products, afar: 1.0, ..Tbl::default() };
-                self.tbls.entry(number).or_insert(tbl);
-            }
-        }
-    }
-
     /// Rule 4: no server gets more of its weight than the slowest warm-up allows at its age, counted from its
     /// start and not from when the list told of it.
     fn warmth(&self, now: Moment, server: &Server) -> f64 {
@@ -395,7 +282,7 @@
         let mut parts = self.parts(now);
         let Some(tbl) = self.tbls.get(&number) else { return BTreeMap::new() };
         let far = |p: &Part| tbl.home != Some(p.zone);
-        if tbl.stays {
+        if self.charter.products.iter().any(|p| p.own_zone) {
             parts.retain(|p| !far(p));
         }
         parts.sort_by_cached_key(|p| Self::rank(&p.id, number));
@@ -403,7 +290,7 @@
         let mut more = self.lines_most().saturating_sub(parts.iter().filter(|p| stays(p)).count());
         let (mut parts, left_out): (Vec<Part>, Vec<Part>) =
             parts.into_iter().partition(|p| stays(p) || more > 0 && (more -= 1, true).1);
-        if let Some(home) = tbl.home.filter(|_| !tbl.stays) {
+        if let Some(home) = tbl.home {
             // In coarse steps, or each server held back would move every line of the other zones.
             let (stood, afar) = (tbl.afar, self.afar(home, &parts, &left_out));
             let afar = if (afar / stood).max(stood / afar) > FAR_STEP { afar } else { stood };
@@ -484,16 +371,17 @@
     /// rule 3 allows: a list that dropped them all at once is more often wrong than right.
     fn carried(&mut self, now: Moment, number: u32) -> bool {
         let Some(tbl) = self.tbls.get_mut(&number) else { return false };
-        let in_grace = self.charter.drain_grace * 0.6 - self.charter.way_most;
-        let spell =
-            if self.charter.only_drains_bind { HEARTBEAT_EVERY } else { HEARTBEAT_EVERY.min(in_grace) };
-        let reports =
-            |s: &Server| s.standing == Standing::Gone && s.heard.is_some_and(|h| now - h < HEARTBEAT_EVERY);
+        let (long, in_grace) = (HEARTBEAT_EVERY, self.charter.drain_grace * 0.6 - self.charter.way_most);
+        let spell = if self.charter.only_drains_bind { long } else { long.min(in_grace) };
+        let reports = |s: &Server| s.standing == Standing::Gone && s.heard.is_some_and(|h| now - h < long);
         if tbl.carried.is_none() && tbl.lines.keys().any(|id| self.servers.get(id).is_some_and(reports)) {
             tbl.carried = Some(now);
-            self.host.wake(spell, CARRIED);
         }
-        self.tbls[&number].carried.is_some_and(|since| now - since < spell)
+        let carried = tbl.carried.is_some_and(|since| now - since < spell);
+        if carried {
+            self.look();
+        }
+        carried
     }
 
     /// All that a moment orders. Where the queue is no longer short, the proxies are asked to tell what came.
@@ -503,7 +391,7 @@
         }
         // Standing tables are thinned by all that leaves: before one is bare its proxy must be bound.
         let lost = self.servers.values().filter(|s| !s.ready()).count() as f64;
-        let unbound = self.proxies.values().any(|p| p.bound.is_empty());
+        let unbound = self.proxies.values().any(|p| !p.bound);
         let thin = unbound && lost > self.servers.len() as f64 * THIN;
         // Else binds can wait longest: each takes what a line to all would.
         let late = self.publish(now, now >= self.gathered && !thin);
@@ -511,7 +399,7 @@
             self.bind_waiting(now);
         }
         if late {
-            self.soon(now, ROOM_AGAIN);
+            self.look();
         }
         if self.ledger.waiting(now, self.pace()) > self.charter.most_waiting * MARKED_FROM {
             let number = self.ledger.mark(now);
@@ -538,7 +426,7 @@
         let goes = |n: usize, c: &Change| c.urgent && hasty[..n].contains(&c.id);
         let lines = |n, c: &Vec<Change>| c.iter().filter(|c| goes(n, c)).count() as f64;
         let cost = |n| changed.iter().map(|(_, users, c)| users * (head + lines(n, c))).sum::<f64>();
-        let mut n = Self::piece(hasty.len(), self.room(now, true, |p| !p.bound.is_empty()), cost);
+        let mut n = Self::piece(hasty.len(), self.room(now, true, |p| p.bound), cost);
         // Many small pieces would cost more in heads than they carry.
         if n < hasty.len() && cost(n) < self.charter.most_waiting / 2.0 {
             n = 0;
@@ -551,12 +439,12 @@
             let urgent = changes.iter().filter(|c| goes(n, c)).count();
             let rest = changes.len() - urgent;
             if !due && urgent == 0 {
-                if rest > 0 && self.gathered > now {
-                    self.soon(now, self.gathered - now);
+                if rest > 0 {
+                    self.look();
                 }
                 continue;
             }
-            let room = self.room(now, false, |p| p.bound.contains(&number)) / users;
+            let room = self.room(now, false, |p| p.bound && p.tbl == number) / users;
             let room = room - if urgent == 0 { head } else { urgent as f64 } - self.levels.len() as f64;
             late |= (room as usize) < rest;
             if urgent == 0 && (room < 0.0 || (room as usize) < rest && room < head) {
@@ -572,7 +460,7 @@
         }
         // After the lines: a withdrawal costs nothing at proxies whose table has just lost the server.
         let leaving = self.leaving();
-        let room = self.room(now, true, |p| p.bound.is_empty());
+        let room = self.room(now, true, |p| !p.bound);
         let n = Self::piece(leaving.len(), room, |n| self.strays(n).iter().map(|s| s.1 + s.2).sum());
         for id in &leaving[..n] {
             let server = self.servers.get_mut(id).expect("a listed server");
@@ -605,7 +493,7 @@
     fn strays(&self, withdrawals: usize) -> Vec<(u32, f64, f64)> {
         let drawn = f64::from(self.charter.standing_most) / self.servers.len().max(1) as f64 * CHANCE;
         let lines = |p: &Proxy| withdrawals as f64 * if p.fresh { drawn.min(1.0) } else { 1.0 };
-        let unbound = self.proxies.iter().filter(|(_, p)| p.bound.is_empty() && withdrawals > 0);
+        let unbound = self.proxies.iter().filter(|(_, p)| !p.bound && withdrawals > 0);
         unbound.map(|(n, p)| (*n, lines(p), self.charter.message_head * lines(p).min(1.0))).collect()
     }
 
@@ -632,7 +520,7 @@
             tbl.lines.insert(id, weight);
         }
         tbl.lines.retain(|_, weight| *weight > 0.0);
-        for (k, level) in levels.into_iter().filter(|(k, _)| tbl.products & (1 << k) != 0) {
+        for (k, level) in levels {
             if tbl.levels.insert(k, level) != Some(level) {
                 self.host.level(number, 1 << k, level, RETRY);
                 orders += 1;
@@ -641,7 +529,7 @@
         if orders > 0 {
             tbl.sent = now;
             let pace = self.pace();
-            for (proxy, _) in self.proxies.iter().filter(|(_, p)| p.bound.contains(&number)) {
+            for (proxy, _) in self.proxies.iter().filter(|(_, p)| p.bound && p.tbl == number) {
                 self.ledger.note(now, *proxy, f64::from(orders), self.charter.message_head, pace);
             }
             self.tell_strays(now, back);
@@ -657,7 +545,7 @@
     }
 
     fn users(&self, number: u32) -> f64 {
-        self.proxies.values().filter(|p| p.bound.contains(&number)).count() as f64
+        self.proxies.values().filter(|p| p.bound && p.tbl == number).count() as f64
     }
 
     fn usable(&self, number: u32) -> bool {
@@ -666,41 +554,33 @@
     }
 
     /// A bind goes out once its table holds a usable server and the channel has room for it; what the proxy
-    /// has stands meanwhile. One that was served before gets no part of its tables; one never served waits for
-    /// all within a budget. Those with the least to go by, then those with most traffic, come first.
+    /// has stands meanwhile. One never served waits no longer than a budget. Those with the least to go by, then
+    /// those with most traffic, come first. Many join within a moment, and what stays at home hangs on them all.
     fn bind_waiting(&mut self, now: Moment) {
-        let (mut held, most, pace) = (false, self.lines_may_wait(false), self.pace());
-        let waits = |(n, p): (&u32, &Proxy)| {
-            let missing: Vec<u32> =
-                self.tbls_of(p.zone).into_iter().filter(|t| !p.bound.contains(t)).collect();
-            (!missing.is_empty()).then_some((!p.fresh, -p.rate, *n, missing))
-        };
-        let mut queue: Vec<(bool, f64, u32, Vec<u32>)> = self.proxies.iter().filter_map(waits).collect();
+        let (most, pace, head) = (self.lines_may_wait(false), self.pace(), self.charter.message_head);
+        let ripe = |p: &Proxy| now - p.joined >= JOINS_GATHERED;
+        if self.proxies.values().any(|p| !p.bound && !ripe(p)) {
+            self.look();
+        }
+        let waits = self.proxies.iter().filter(|(_, p)| !p.bound && ripe(p));
+        let mut queue: Vec<(bool, f64, u32)> = waits.map(|(n, p)| (!p.fresh, -p.rate, *n)).collect();
         queue.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-        for (_, _, proxy, mut missing) in queue {
-            let p = &self.proxies[&proxy];
-            let partial = missing.iter().any(|number| !self.usable(*number));
-            held |= partial;
-            let whole = !p.fresh || now - p.joined < JOIN_BUDGET;
-            missing.retain(|number| self.usable(*number) && (!partial || !whole));
-            let lines = |number: &u32| self.tbls[number].lines.len() + self.tbls[number].levels.len() + 1;
-            let (lines, head) = (missing.iter().map(lines).sum::<usize>() as f64, self.charter.message_head);
-            let waiting = self.ledger.waiting(now, pace);
-            if lines > 0.0 && waiting > 1.0 && waiting + head + lines > most {
-                self.soon(now, ROOM_AGAIN);
+        for (_, _, proxy) in queue {
+            let Proxy { tbl: number, joined, fresh, .. } = self.proxies[&proxy];
+            let (tbl, waiting) = (&self.tbls[&number], self.ledger.waiting(now, pace));
+            let lines = (tbl.lines.len() + tbl.levels.len() + 1) as f64;
+            if waiting > 1.0 && waiting + head + lines > most {
+                self.look();
                 break;
             }
-            for number in missing {
-                self.host.bind(proxy, number, self.tbls[&number].products);
-                self.proxies.get_mut(&proxy).expect("just read").bound.insert(number);
+            if self.usable(number) || fresh && now - joined >= JOIN_BUDGET {
+                self.host.bind(proxy, number, 0);
+                self.proxies.get_mut(&proxy).expect("just read").bound = true;
                 self.ledger.note(now, proxy, lines, head, pace);
+            } else if !std::mem::replace(&mut self.heartbeat_set, true) {
+                self.host.wake(HEARTBEAT_EVERY * (0.8 + 0.4 * self.chance.unit()), HEARTBEAT);
             }
         }
-        if held && !self.heartbeat_set {
-            self.heartbeat_set = true;
-            let jitter = 0.8 + 0.4 * self.chance.unit();
-            self.host.wake(HEARTBEAT_EVERY * jitter, HEARTBEAT);
-        }
     }
 
     fn pace(&self) -> f64 {
@@ -729,8 +609,7 @@
     /// Lines that may wait. What can wait leaves room for a part of the fleet to leave, within the grace.
     fn lines_may_wait(&self, urgent: bool) -> f64 {
         let most = self.charter.most_waiting * MOST_LINES;
-        let lines =
-            |p: &Proxy| p.bound.iter().map(|number| self.tbls[number].lines.len()).sum::<usize>() as f64;
+        let lines = |p: &Proxy| if p.bound { self.tbls[&p.tbl].lines.len() as f64 } else { 0.0 };
         let leave = |p| self.charter.message_head + lines(p) * LEAVES_AT_ONCE;
         let kept = || self.proxies.values().map(leave).sum::<f64>() * CHANCE;
         match (self.bounded(), urgent) {
@@ -777,12 +656,9 @@
         self.pulse.middle = hurts.get(hurts.len() / 2).map_or(0.0, |h| h.0);
         let mut held_back: f64 = self.ready().map(|(_, s)| s.weight * (1.0 - RUNGS[s.rung])).sum();
         let most = self.ready_weight() * MOST_HELD_BACK;
-        for (hurt, id) in hurts {
-            let server = self.servers.get_mut(&id).expect("a listed server");
-            if hurt < par + STANDS_OUT + NOISE / server.tally.total().sqrt() {
-                continue;
-            }
-            let down = if hurt >= HOPELESS { server.rung + 3 } else { server.rung + 1 }.min(RUNGS.len() - 1);
+        for (hurt, id) in hurts.iter().filter(|h| h.0 > par + STANDS_OUT) {
+            let server = self.servers.get_mut(id).expect("a listed server");
+            let down = if *hurt >= HOPELESS { server.rung + 3 } else { server.rung + 1 }.min(RUNGS.len() - 1);
             held_back += server.weight * (RUNGS[server.rung] - RUNGS[down]);
             if held_back > most {
                 break;
@@ -802,8 +678,7 @@
     }
 
     fn fade(&mut self) {
-        // By what came and not by the clock: a large fleet's reports are thin and come seconds apart.
-        self.servers.values_mut().filter(|s| s.tally.total() > PLENTY).for_each(|s| s.tally.halve());
+        self.servers.values_mut().for_each(|s| s.tally.halve());
         let pulse = &mut self.pulse;
         pulse.asked.iter_mut().for_each(|asked| *asked /= 2.0);
         (pulse.tries, pulse.answered) = (pulse.tries / 4.0, pulse.answered / 4.0);
@@ -859,7 +734,8 @@
             self.host.withdraw(id, server.out);
         }
         let usable = self.eased(self.parts(now));
-        let writes = self.products(|p| p.writes);
+        let writing = self.charter.products.iter().enumerate().filter(|(_, p)| p.writes);
+        let writes: Products = writing.fold(0, |set, (k, _)| set | 1 << k);
         let in_hand = self.charter.way_most + self.charter.lease + self.charter.settle;
         let (whole, one) = (usable.values().map(|u| u.0).sum::<f64>(), self.charter.single_writer);
         for (&number, slice) in self.slices.iter_mut() {
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,92 @@
+//! What the rules remember: plain types, filled and read by `rules.rs` alone.
+
+use crate::histogram::Histogram;
+use crate::host::{Id, Standing};
+use crate::time::{Moment, Span};
+use std::collections::BTreeMap;
+
+#[derive(Default)]
+pub struct Server {
+    pub zone: u32,
+    pub weight: f64,
+    pub standing: Standing,
+    pub started: Option<Moment>,
+    pub heard: Option<Moment>,
+    pub left: Moment,
+    /// Withdrawn from proxies, and from all that have joined since.
+    pub out: bool,
+    pub told: bool,
+    pub tally: Histogram<5>,
+    pub rung: usize,
+    pub strikes: u32,
+    pub judged: Moment,
+}
+
+impl Server {
+    pub fn ready(&self) -> bool {
+        self.standing == Standing::Ready
+    }
+
+    pub fn stands(&mut self, now: Moment, standing: Standing) {
+        if self.ready() {
+            self.left = now;
+        }
+        self.standing = standing;
+    }
+
+    pub fn move_to(&mut self, rung: usize, now: Moment) {
+        (self.rung, self.judged, self.tally) = (rung, now, Histogram::default());
+    }
+}
+
+#[derive(Default)]
+pub struct Tbl {
+    pub home: Option<u32>,
+    pub lines: BTreeMap<Id, f64>,
+    pub afar: f64,
+    pub carried: Option<Moment>,
+    pub sent: Moment,
+    pub levels: BTreeMap<usize, f64>,
+}
+
+pub struct Change {
+    pub id: Id,
+    pub weight: f64,
+    pub urgent: bool,
+    pub gap: f64,
+}
+
+pub struct Part {
+    pub id: Id,
+    pub zone: u32,
+    pub weight: f64,
+    pub warmth: f64,
+}
+
+pub struct Proxy {
+    pub rate: f64,
+    pub joined: Moment,
+    pub fresh: bool,
+    pub tbl: u32,
+    pub bound: bool,
+}
+
+#[derive(Default)]
+pub struct Slice {
+    pub lines: BTreeMap<Id, f64>,
+    pub moving: Option<Moment>,
+}
+
+/// What came and what was answered over the last seconds, fading, and what is made of it.
+#[derive(Default)]
+pub struct Pulse {
+    pub asked: Vec<f64>,
+    pub tries: f64,
+    pub answered: f64,
+    pub served: f64,
+    pub over: Span,
+    pub middle: f64,
+    pub struggling: bool,
+    pub budget: Option<f64>,
+    pub shed: Moment,
+}
