--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -14,17 +14,20 @@
 
 /// ```
 /// use otterwinch::{ledger::Ledger, time::{Moment, Span}};
-/// let (mut ledger, now) = (Ledger::default(), Moment::from_us(5));
-/// ledger.note(now, 1, 4.0, 3.0, 0.0);
-/// ledger.note(now, 2, 2.0, 3.0, 0.0);
+/// let (mut ledger, now) = (Ledger::new(2.0), Moment::from_us(5));
+/// ledger.note(now, 1, 4.0, 3.0);
+/// ledger.note(now, 2, 2.0, 3.0);
 /// let number = ledger.mark(now).unwrap();
-/// assert_eq!(ledger.waiting(now, 0.0), 14.0);
-/// ledger.came(now, number, 2, 0.0);
-/// assert_eq!(ledger.waiting(now, 0.0), 8.0);
+/// assert_eq!(ledger.waiting(now), 14.0);
+/// ledger.came(now, number, 2);
+/// assert_eq!(ledger.waiting(now), 8.0);
+/// assert_eq!(ledger.waiting(now + Span::secs(1.0)), 6.0);
 /// assert_eq!(ledger.messages(now, 1, Span::secs(1.0)), (1, Some(now)));
 /// ```
 #[derive(Debug, Default)]
 pub struct Ledger {
+    /// Lines a second that leave whatever happens.
+    pace: f64,
     /// All lines ever ordered, heads and marks included.
     pub ordered: f64,
     waiting: (f64, Moment),
@@ -37,13 +40,17 @@
     /// Replies kept for an answer; an older one that never came is covered by any later one.
     const KEPT: usize = 512;
 
-    /// The most that may still wait, if the channel sends at least so many lines a second.
-    pub fn waiting(&self, now: Moment, pace: f64) -> f64 {
-        (self.waiting.0 - (now - self.waiting.1).as_secs() * pace).max(0.0)
+    pub fn new(pace: f64) -> Self {
+        Ledger { pace, ..Ledger::default() }
+    }
+
+    /// The most that may still wait.
+    pub fn waiting(&self, now: Moment) -> f64 {
+        (self.waiting.0 - (now - self.waiting.1).as_secs() * self.pace).max(0.0)
     }
 
     /// Lines for a proxy. Those of one moment make one message with one head.
-    pub fn note(&mut self, now: Moment, proxy: u32, lines: f64, head: f64, pace: f64) {
+    pub fn note(&mut self, now: Moment, proxy: u32, lines: f64, head: f64) {
         if self.replies.back().is_none_or(|reply| reply.at != now) {
             let (before, lines) = (self.ordered, BTreeMap::new());
             self.replies.push_back(Reply { at: now, number: 0, before, lines });
@@ -56,7 +63,7 @@
         if first {
             self.sent.entry(proxy).or_default().push_back(now);
         }
-        (self.waiting, self.ordered) = ((self.waiting(now, pace) + lines, now), self.ordered + lines);
+        (self.waiting, self.ordered) = ((self.waiting(now) + lines, now), self.ordered + lines);
     }
 
     /// Whether this moment has a message for the proxy already.
@@ -78,12 +85,12 @@
     }
 
     /// A marked message came: it and all that was ordered before its moment have left.
-    pub fn came(&mut self, now: Moment, number: u32, proxy: u32, pace: f64) {
+    pub fn came(&mut self, now: Moment, number: u32, proxy: u32) {
         if let Some(place) = self.replies.iter().position(|reply| reply.number == number) {
             self.replies.drain(..place);
             self.replies[0].before += self.replies[0].lines.remove(&proxy).unwrap_or(0.0);
             let left = self.ordered - self.replies[0].before;
-            self.waiting = (self.waiting(now, pace).min(left), now);
+            self.waiting = (self.waiting(now).min(left), now);
         }
     }
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -30,15 +30,16 @@
 const SUBSCRIBE_AGAIN: Span = Span::from_us(700_000);
 const LOOK_AGAIN: Span = Span::from_us(50_000);
 
-/// New servers start at `RAMP_FROM` of their weight; a warming line is sent when it is off by `STEP`. The ramp
-/// stays under an even warm-up: a storm finds a cold server with any spare it was given.
+/// New servers start at `RAMP_FROM` of their weight; a warming line is sent when it is off by `STEP`. The
+/// ramp stays under an even warm-up: a storm finds a cold server with any spare it was given.
 const RAMP_FROM: f64 = 0.1;
 const RAMP_BEND: f64 = 1.3;
 const STEP: f64 = 1.25;
-/// How much more a table's warm servers may get so that its cold ones get less; under which part of its weight
-/// a new server stays out of a struggling fleet whose proxies shun.
+/// How much more a table's warm servers may get so that its cold ones get less; under which part of its
+/// weight a new server stays out of a struggling fleet whose proxies shun.
 const WARM_BEARS: f64 = 2.0;
 const YOUNG: f64 = 0.35;
+const PEAK_KEPT: f64 = 0.99;
 
 /// Where crossing zones costs: the most that stays at home, and how far off the rest may stand.
 const STAY: f64 = 0.9;
@@ -62,8 +63,8 @@
 const FOR_LEAVING: f64 = 0.9;
 const CHANCE: f64 = 1.5;
 const THIN: f64 = 0.2;
-/// Changes are gathered for so many times their way through the channel; one goes out if it is so great a part
-/// of a mean line for each second that a line takes to all of a table.
+/// Changes are gathered for so many times their way through the channel; one goes out if it is so great a
+/// part of a mean line for each second that a line takes to all of a table.
 const SPARING: f64 = 2.0;
 const SLIGHT: f64 = 4.0;
 
@@ -116,7 +117,7 @@
             host.follow_list();
         }
         host.wake(GATHER, TURN);
-        let products = charter.products.len();
+        let (products, ledger) = (charter.products.len(), Ledger::new(charter.channel_rate * PACE_TRUSTED));
         Rules {
             host,
             charter,
@@ -129,7 +130,7 @@
             levels: vec![1.0; products],
             pulse: Pulse { asked: vec![0.0; products], ..Pulse::default() },
             peak: 0.0,
-            ledger: Ledger::default(),
+            ledger,
             gathered: now,
             look_set: false,
             heartbeat_set: false,
@@ -165,8 +166,7 @@
 
     /// A call to the list failed or the subscription dropped: what is known stays, and it is asked again.
     pub fn list_failed(&mut self) {
-        let again = SUBSCRIBE_AGAIN * (0.5 + self.chance.unit());
-        self.host.wake(again, SUBSCRIBE);
+        self.host.wake(SUBSCRIBE_AGAIN * (0.5 + self.chance.unit()), SUBSCRIBE);
     }
 
     fn ready(&self) -> impl Iterator<Item = (&Id, &Server)> {
@@ -220,14 +220,12 @@
     }
 
     pub fn asked(&mut self, product: u32, txns: f64) {
-        if let Some(asked) = self.pulse.asked.get_mut(product as usize) {
-            *asked += txns;
-        }
+        self.pulse.asked.get_mut(product as usize).into_iter().for_each(|asked| *asked += txns);
     }
 
     /// A marked message came to a proxy.
     pub fn applied(&mut self, now: Moment, number: u32, proxy: u32) {
-        self.ledger.came(now, number, proxy, self.pace());
+        self.ledger.came(now, number, proxy);
     }
 
     pub fn woke(&mut self, now: Moment, label: u64) {
@@ -239,7 +237,12 @@
                 self.pulse.over = self.pulse.over + GATHER;
                 self.judge(now);
                 self.shed(now);
-                self.fade();
+                self.servers.values_mut().for_each(|s| s.tally.halve());
+                let pulse = &mut self.pulse;
+                pulse.asked.iter_mut().for_each(|asked| *asked /= 2.0);
+                (pulse.tries, pulse.answered) = (pulse.tries / 4.0, pulse.answered / 4.0);
+                (pulse.served, pulse.over) = (pulse.served / 2.0, pulse.over * 0.5);
+                self.peak = (self.peak * PEAK_KEPT).max(self.ready_weight());
                 self.host.wake(GATHER, TURN);
             }
             _ => {}
@@ -247,33 +250,26 @@
         self.turn(now);
     }
 
-    // ---- tables ----
-
     /// Rule 4: no server gets more of its weight than the slowest warm-up allows at its age, counted from its
     /// start and not from when the list told of it.
     fn warmth(&self, now: Moment, server: &Server) -> f64 {
-        let age = server.started.map_or(self.charter.cold_for, |started| now - started);
-        if age >= self.charter.cold_for {
-            return 1.0;
-        }
-        RAMP_FROM
-            + (1.0 - RAMP_FROM) * (age.as_secs() / self.charter.cold_for.as_secs()).max(0.0).powf(RAMP_BEND)
+        let cold_for = self.charter.cold_for;
+        let Some(age) = server.started.map(|at| now - at).filter(|age| *age < cold_for) else { return 1.0 };
+        let grown = age.as_secs().max(0.0) / cold_for.as_secs();
+        RAMP_FROM + (1.0 - RAMP_FROM) * grown.powf(RAMP_BEND)
     }
 
     fn parts(&self, now: Moment) -> Vec<Part> {
-        let part = |(id, s): (&Id, &Server)| Part {
-            id: id.clone(),
-            zone: s.zone,
-            weight: s.weight * RUNGS[s.rung],
-            warmth: self.warmth(now, s),
+        let part = |(id, s): (&Id, &Server)| {
+            let (weight, warmth) = (s.weight * RUNGS[s.rung], self.warmth(now, s));
+            Part { id: id.clone(), zone: s.zone, weight, warmth }
         };
         self.ready().map(part).collect()
     }
 
     /// A table's own order of the servers, so that what one can't hold another does.
-    fn rank(id: &Id, number: u32) -> u64 {
-        id.bytes()
-            .fold(u64::from(number) + 0xcbf2_9ce4, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+    fn rank(id: &Id, number: u32) -> u32 {
+        id.bytes().fold(number, |h, b| (h.rotate_left(5) ^ u32::from(b)).wrapping_mul(0x0100_0193))
     }
 
     /// What a table should hold: every listed server, at listed weight but for the exceptions; with its
@@ -300,10 +296,9 @@
         self.eased(parts)
     }
 
-    /// Where crossing zones costs, servers of other zones get this part of their weight: what carries a tenth
-    /// of the zone's usual traffic, or all of it that its own servers' part of the fleet does not cover. Cold
-    /// ones count short, so that a zone of new servers leans on the others. Those in the table stand for those
-    /// left out.
+    /// Servers of other zones get this part of their weight: what carries a tenth of the zone's usual txns,
+    /// or all that its own servers' part of the fleet does not cover. Cold ones count short, so that a zone
+    /// of new servers leans on the others; those in the table stand for those left out.
     fn afar(&self, home: u32, parts: &[Part], left_out: &[Part]) -> f64 {
         let mut rates = BTreeMap::<u32, f64>::new();
         self.usual.values().for_each(|(zone, rate)| *rates.entry(*zone).or_default() += rate);
@@ -341,8 +336,8 @@
         kept.map(|p| (p.id.clone(), (p.weight * ease(&p), p.warmth >= 1.0))).collect()
     }
 
-    /// What differs from what stands, and whether it can't wait: servers that left, the first usable lines of
-    /// a table, a known server that came back cold. The widest gaps first; slight ones are not worth their way.
+    /// What differs from what stands, and whether it can't wait: servers that left, a table's first usable
+    /// lines, a known server that came back cold. The widest gaps first; slight ones are not worth their way.
     fn changes(&mut self, now: Moment, number: u32) -> Vec<Change> {
         let wanted = self.wanted(now, number);
         if wanted.is_empty() && self.carried(now, number) {
@@ -352,9 +347,9 @@
         let mean = wanted.values().map(|w| w.0).sum::<f64>() / wanted.len().max(1) as f64;
         let Some(tbl) = self.tbls.get_mut(&number) else { return Vec::new() };
         tbl.carried = None;
-        let left = tbl.lines.iter().filter(|(id, _)| !wanted.contains_key(*id));
-        let left = left.map(|(id, gap)| Change { id: id.clone(), weight: 0.0, urgent: true, gap: *gap });
-        let mut changes: Vec<Change> = left.collect();
+        let left = |(id, gap): (&Id, &f64)| Change { id: id.clone(), weight: 0.0, urgent: true, gap: *gap };
+        let gone = tbl.lines.iter().filter(|(id, _)| !wanted.contains_key(*id));
+        let mut changes: Vec<Change> = gone.map(left).collect();
         for (id, (weight, warm)) in wanted {
             let stands = tbl.lines.get(&id).copied().unwrap_or(0.0);
             let (off, gap) = ((stands / weight).max(weight / stands), (stands - weight).abs());
@@ -378,10 +373,7 @@
             tbl.carried = Some(now);
         }
         let carried = tbl.carried.is_some_and(|since| now - since < spell);
-        if carried {
-            self.look();
-        }
-        carried
+        carried.then(|| self.look()).is_some()
     }
 
     /// All that a moment orders. Where the queue is no longer short, the proxies are asked to tell what came.
@@ -401,9 +393,8 @@
         if late {
             self.look();
         }
-        if self.ledger.waiting(now, self.pace()) > self.charter.most_waiting * MARKED_FROM {
-            let number = self.ledger.mark(now);
-            number.into_iter().for_each(|number| self.host.mark(number));
+        if self.ledger.waiting(now) > self.charter.most_waiting * MARKED_FROM {
+            self.ledger.mark(now).into_iter().for_each(|number| self.host.mark(number));
         }
     }
 
@@ -473,11 +464,7 @@
 
     /// The largest piece of so many that fits, coarsely.
     fn piece(whole: usize, room: f64, cost: impl Fn(usize) -> f64) -> usize {
-        let mut n = whole;
-        while n > 0 && cost(n) > room {
-            n = n * 3 / 4;
-        }
-        n
+        (1..=whole).rev().step_by(1 + whole / 8).find(|n| cost(*n) <= room).unwrap_or(0)
     }
 
     /// Rule 3: what drains or is gone, is in no table and not withdrawn from all. Only a withdrawal reaches
@@ -498,15 +485,19 @@
     }
 
     fn tell_strays(&mut self, now: Moment, withdrawals: usize) {
-        let pace = self.pace();
         for (proxy, lines, head) in self.strays(withdrawals) {
-            self.ledger.note(now, proxy, lines, head, pace);
+            self.ledger.note(now, proxy, lines, head);
         }
     }
 
     fn send(&mut self, now: Moment, number: u32, changes: Vec<Change>) {
         let (mut orders, mut back) = (0, 0);
-        let levels: Vec<(usize, f64)> = (0..self.levels.len()).map(|k| (k, self.admitted(k))).collect();
+        let admitted = |level: &f64| match self.charter.admission {
+            Admission::Share => *level,
+            Admission::PerSecond => 1e6,
+            Admission::Ignored => 1.0,
+        };
+        let levels: Vec<f64> = self.levels.iter().map(admitted).collect();
         let Some(tbl) = self.tbls.get_mut(&number) else { return };
         for Change { id, weight, .. } in changes {
             // One that returns is let back in with its first line, not before: until then it may be cold.
@@ -520,7 +511,7 @@
             tbl.lines.insert(id, weight);
         }
         tbl.lines.retain(|_, weight| *weight > 0.0);
-        for (k, level) in levels {
+        for (k, level) in levels.into_iter().enumerate() {
             if tbl.levels.insert(k, level) != Some(level) {
                 self.host.level(number, 1 << k, level, RETRY);
                 orders += 1;
@@ -528,78 +519,52 @@
         }
         if orders > 0 {
             tbl.sent = now;
-            let pace = self.pace();
             for (proxy, _) in self.proxies.iter().filter(|(_, p)| p.bound && p.tbl == number) {
-                self.ledger.note(now, *proxy, f64::from(orders), self.charter.message_head, pace);
+                self.ledger.note(now, *proxy, f64::from(orders), self.charter.message_head);
             }
             self.tell_strays(now, back);
         }
     }
 
-    fn admitted(&self, product: usize) -> f64 {
-        match self.charter.admission {
-            Admission::Share => self.levels[product],
-            Admission::PerSecond => 1e6,
-            Admission::Ignored => 1.0,
-        }
-    }
-
     fn users(&self, number: u32) -> f64 {
         self.proxies.values().filter(|p| p.bound && p.tbl == number).count() as f64
     }
 
-    fn usable(&self, number: u32) -> bool {
-        let ready = |id: &Id| self.servers.get(id).is_some_and(Server::ready);
-        self.tbls.get(&number).is_some_and(|t| t.lines.keys().any(ready))
-    }
-
-    /// A bind goes out once its table holds a usable server and the channel has room for it; what the proxy
-    /// has stands meanwhile. One never served waits no longer than a budget. Those with the least to go by, then
-    /// those with most traffic, come first. Many join within a moment, and what stays at home hangs on them all.
+    /// A bind goes out once its table holds a usable server and the channel has room; what the proxy has
+    /// stands meanwhile. One never served waits no longer than a budget. Those with the least to go by come
+    /// first, then those with most traffic. What a table keeps at home hangs on all who join in a moment.
     fn bind_waiting(&mut self, now: Moment) {
-        let (most, pace, head) = (self.lines_may_wait(false), self.pace(), self.charter.message_head);
-        let ripe = |p: &Proxy| now - p.joined >= JOINS_GATHERED;
-        if self.proxies.values().any(|p| !p.bound && !ripe(p)) {
-            self.look();
-        }
-        let waits = self.proxies.iter().filter(|(_, p)| !p.bound && ripe(p));
+        let (most, head) = (self.lines_may_wait(false), self.charter.message_head);
+        let waits = self.proxies.iter().filter(|(_, p)| !p.bound);
         let mut queue: Vec<(bool, f64, u32)> = waits.map(|(n, p)| (!p.fresh, -p.rate, *n)).collect();
         queue.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         for (_, _, proxy) in queue {
             let Proxy { tbl: number, joined, fresh, .. } = self.proxies[&proxy];
-            let (tbl, waiting) = (&self.tbls[&number], self.ledger.waiting(now, pace));
+            let (tbl, waiting) = (&self.tbls[&number], self.ledger.waiting(now));
             let lines = (tbl.lines.len() + tbl.levels.len() + 1) as f64;
-            if waiting > 1.0 && waiting + head + lines > most {
+            if now - joined < JOINS_GATHERED || waiting > 1.0 && waiting + head + lines > most {
                 self.look();
-                break;
-            }
-            if self.usable(number) || fresh && now - joined >= JOIN_BUDGET {
+            } else if tbl.lines.keys().any(|id| self.servers[id].ready())
+                || fresh && now - joined >= JOIN_BUDGET
+            {
                 self.host.bind(proxy, number, 0);
                 self.proxies.get_mut(&proxy).expect("just read").bound = true;
-                self.ledger.note(now, proxy, lines, head, pace);
+                self.ledger.note(now, proxy, lines, head);
             } else if !std::mem::replace(&mut self.heartbeat_set, true) {
                 self.host.wake(HEARTBEAT_EVERY * (0.8 + 0.4 * self.chance.unit()), HEARTBEAT);
             }
         }
     }
 
-    fn pace(&self) -> f64 {
-        self.charter.channel_rate * PACE_TRUSTED
-    }
-
     /// The lines that the channel carries within the grace, once they left the module.
     fn in_grace(&self) -> f64 {
         (self.charter.drain_grace - self.charter.way_most).as_secs() * self.charter.channel_rate * FOR_LEAVING
     }
 
-    fn bounded(&self) -> bool {
-        self.charter.most_waiting > 0.0 && self.charter.channel_rate > 0.0
-    }
-
     /// How many lines a table may hold so that a part of the fleet can leave all proxies within the grace.
     fn lines_most(&self) -> usize {
         let each = self.in_grace() / f64::from(self.charter.proxies.max(1)) - self.charter.message_head;
-        if self.bounded() {
+        if self.charter.channel_rate > 0.0 {
             (each / LEAVES_AT_ONCE).max(1.0) as usize
         } else {
             usize::MAX
@@ -612,10 +577,12 @@
         let lines = |p: &Proxy| if p.bound { self.tbls[&p.tbl].lines.len() as f64 } else { 0.0 };
         let leave = |p| self.charter.message_head + lines(p) * LEAVES_AT_ONCE;
         let kept = || self.proxies.values().map(leave).sum::<f64>() * CHANCE;
-        match (self.bounded(), urgent) {
-            (false, _) => f64::INFINITY,
-            (_, true) => most,
-            _ => (most.min(self.in_grace()) - kept()).max(most * ORDINARY_LINES),
+        if most <= 0.0 || self.charter.channel_rate <= 0.0 {
+            f64::INFINITY
+        } else if urgent {
+            most
+        } else {
+            (most.min(self.in_grace()) - kept()).max(most * ORDINARY_LINES)
         }
     }
 
@@ -636,7 +603,7 @@
             }
             proxies += 1.0;
         }
-        let waiting = self.ledger.waiting(now, self.pace());
+        let waiting = self.ledger.waiting(now);
         // Whatever the limits, an idle channel takes a line to all.
         let least = proxies * (self.charter.message_head + self.levels.len() as f64 + 1.0);
         (self.lines_may_wait(urgent) - waiting).max(if waiting < 1.0 { least } else { 0.0 })
@@ -677,14 +644,6 @@
         }
     }
 
-    fn fade(&mut self) {
-        self.servers.values_mut().for_each(|s| s.tally.halve());
-        let pulse = &mut self.pulse;
-        pulse.asked.iter_mut().for_each(|asked| *asked /= 2.0);
-        (pulse.tries, pulse.answered) = (pulse.tries / 4.0, pulse.answered / 4.0);
-        (pulse.served, pulse.over) = (pulse.served / 2.0, pulse.over * 0.5);
-    }
-
     /// When most of the fleet hurts at once no table helps: no more is let in than it answers, products of
     /// most revenue first, and the rest let back step by step. It harms if the reports lie, so nothing falls
     /// under a floor.
--- a/src/testing.rs
+++ b/src/testing.rs
@@ -1,4 +1,4 @@
-//! What the module's tests share: a host that writes down what it is told, and a charter and rules to start from.
+//! What the module's tests share: a host that writes down what it is told, a charter, rules to start from.
 
 use crate::charter::{Admission, Charter, Product};
 use crate::host::{Host, Id, Listing, Products, Retry, Standing};
--- a/wirehost/src/tests.rs
+++ b/wirehost/src/tests.rs
@@ -37,6 +37,7 @@
     hosted
         .take(br#"{"kind":"STREAM_UP","who":3,"px":41,"campus":0,"weight":6.5,"set":true,"odd":[]}"#)
         .unwrap();
+    hosted.take(br#"{"kind":"TICK","timeUs":5200000,"serial":2}"#).unwrap();
     hosted.take(br#"{"kind":"BELL","who":3,"label":4}"#).unwrap();
     assert!(reply(&mut hosted).contains(r#""kind":"INSTALL""#));
 }
