--- a/src/rules.rs
+++ b/src/rules.rs
@@ -430,9 +430,7 @@
             let urgent = changes.iter().filter(|c| goes(n, c)).count();
             let rest = changes.len() - urgent;
             if !due && urgent == 0 {
-                if rest > 0 {
-                    self.look();
-                }
+                self.look();
                 continue;
             }
             let room = self.room(now, false, |p| p.bound && p.tbl == number) / users;
