Hold no server back while the middle one hurts, and believe evidence 2 s after its interval

In a jam each move of a weight only moves the jam; tries that end now began before the move. It should help in any overload; it harms where half the fleet is bad and the other half idle, for then nothing is moved.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -80,7 +80,7 @@
 const HOPELESS: f64 = 0.7;
 const REST: Span = Span::from_us(4_000_000);
 const MOST_HELD_BACK: f64 = 0.35;
-const REPORT_LAG: Span = Span::from_us(1_500_000);
+const REPORT_LAG: Span = Span::from_us(2_000_000);
 
 /// A struggling fleet: the middle server's hurt, or the part of tries answered; it is over at the second.
 const HURTING: (f64, f64) = (0.2, 0.15);
@@ -211,7 +211,7 @@
         if answered > 0.0 {
             server.heard = Some(now);
         }
-        // Reports come late: for a while they still tell of the weight before the last move.
+        // Reports come late, and tries that end now began earlier: they tell of the weight before the move.
         if server.rung == 0 || now - server.judged >= REPORT_LAG + over {
             let sla = self.charter.products.iter().map(|p| p.sla).min().unwrap_or_default();
             server.tally.add(VOIDED, voided);
@@ -609,7 +609,8 @@
 
     /// A server that hurts more than its peers goes down a rung, whatever the cause: slow, failing, hung, cut
     /// off, or listed at more than it can do. It harms where its peers can't carry its part, so only some of
-    /// the fleet is held back; each rung is let go by itself after a rest, longer with each strike.
+    /// the fleet is held back, and none while the middle one hurts too: in a jam each move only moves the jam.
+    /// Each rung is let go by itself after a rest, longer with each strike.
     fn judge(&mut self, now: Moment) {
         let mut fleet = Histogram::<5>::default();
         self.ready().for_each(|(_, s)| fleet.merge(&s.tally));
@@ -621,7 +622,8 @@
         self.pulse.middle = hurts.get(hurts.len() / 2).map_or(0.0, |h| h.0);
         let mut held_back: f64 = self.ready().map(|(_, s)| s.weight * (1.0 - RUNGS[s.rung])).sum();
         let most = self.ready_weight() * MOST_HELD_BACK;
-        for (hurt, id) in hurts.iter().filter(|h| h.0 > par + STANDS_OUT) {
+        let jammed = self.pulse.middle > HURTING.0;
+        for (hurt, id) in hurts.iter().filter(|h| h.0 > par + STANDS_OUT && !jammed) {
             let server = self.servers.get_mut(id).expect("a listed server");
             let down = if *hurt >= HOPELESS { server.rung + 3 } else { server.rung + 1 }.min(RUNGS.len() - 1);
             held_back += server.weight * (RUNGS[server.rung] - RUNGS[down]);
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -336,6 +336,16 @@
     assert_eq!(rules.servers.values().filter(|s| s.rung > 0).count(), 1);
 }
 
+#[test]
+fn in_a_jam_no_server_is_held_back() {
+    let mut rules = running(charter(), &["a", "b", "c", "d"], 1);
+    rules.servers.values_mut().for_each(|s| (s.tally.add(0, 6.0), s.tally.add(VOIDED, 4.0)).0);
+    rules.servers.get_mut("c").unwrap().tally.add(VOIDED, 90.0);
+    rules.servers.get_mut("d").unwrap().tally.add(0, 200.0);
+    rules.judge(at(5.0));
+    assert!(rules.servers.values().all(|s| s.rung == 0));
+}
+
 #[test]
 fn a_rung_is_let_go_after_a_rest() {
     let mut rules = running(charter(), &["a", "b"], 1);
