--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -326,14 +326,14 @@
 
 #[test]
 fn only_part_of_the_fleet_is_held_back() {
-    let mut rules = running(charter(), &["a", "b", "c"], 1);
+    let mut rules = running(charter(), &["a", "b", "c", "d", "e", "f", "g"], 1);
     rules.servers.values_mut().for_each(|s| s.tally.add(0, 100.0));
     for id in ["a", "b"] {
-        rules.servers.get_mut(id).unwrap().tally = Histogram::default();
-        rules.servers.get_mut(id).unwrap().tally.add(VOIDED, 20.0);
+        rules.servers.get_mut(id).unwrap().move_to(5, at(5.0));
     }
+    rules.servers.get_mut("c").unwrap().tally.add(VOIDED, 900.0);
     rules.judge(at(5.0));
-    assert_eq!(rules.servers.values().filter(|s| s.rung > 0).count(), 1);
+    assert_eq!(rules.servers["c"].rung, 0);
 }
 
 #[test]
