--- a/src/rules.rs
+++ b/src/rules.rs
@@ -429,7 +429,7 @@
         for (number, users, mut changes) in changed {
             let urgent = changes.iter().filter(|c| goes(n, c)).count();
             let rest = changes.len() - urgent;
-            if !due && urgent == 0 {
+            if urgent == 0 && (!due || now - self.tbls[&number].sent < GATHER) {
                 self.look();
                 continue;
             }
@@ -445,7 +445,7 @@
         }
         let took = (self.ledger.ordered - paid) / self.charter.channel_rate.max(1.0);
         if took > 0.0 {
-            self.gathered = now + GATHER.max(Span::secs(took * SPARING));
+            self.gathered = now + Span::secs(took * SPARING);
         }
         // After the lines: a withdrawal costs nothing at proxies whose table has just lost the server.
         let leaving = self.leaving();
