--- a/src/rules.rs
+++ b/src/rules.rs
@@ -51,17 +51,18 @@
 
 /// Parts of the waiting lines and messages that may be used, in all and by what can wait; messages kept back
 /// for drains; the part of its stated pace that a channel is trusted with until proxies say what has come.
-const MOST_LINES: f64 = 0.95;
+const MOST_LINES: f64 = 0.9;
 const ORDINARY_LINES: f64 = 0.15;
 const ORDINARY_MESSAGES: f64 = 0.5;
 const BURST: usize = 3;
 const PACE_TRUSTED: f64 = 0.04;
 const MARKED_FROM: f64 = 0.05;
 /// The part of the fleet whose leaving at once must find room, and of the grace's lines it may take; how far
-/// above the mean chance may lie; the part of the fleet whose loss makes standing tables thin.
+/// above the mean chance may lie; the least piece in heads; the part whose loss makes standing tables thin.
 const LEAVES_AT_ONCE: f64 = 0.2;
 const FOR_LEAVING: f64 = 0.9;
 const CHANCE: f64 = 1.5;
+const PIECE: f64 = 6.0;
 const THIN: f64 = 0.2;
 /// Changes are gathered for so many times their way through the channel; one goes out if it is so great a
 /// part of a mean line for each second that a line takes to all of a table.
@@ -273,7 +274,8 @@
     }
 
     /// What a table should hold: every listed server, at listed weight but for the exceptions; with its
-    /// weight, whether it is warm. Rule 1: no exception takes a warm server out.
+    /// weight, whether it is warm. Rule 1: no exception takes a warm server of the zone out; far ones are left
+    /// out only where all could not be taken out again in time.
     fn wanted(&mut self, now: Moment, number: u32) -> BTreeMap<Id, (f64, bool)> {
         let mut parts = self.parts(now);
         let Some(tbl) = self.tbls.get(&number) else { return BTreeMap::new() };
@@ -410,7 +412,7 @@
                 hasty.extend(changes.iter().filter(|c| c.urgent).map(|c| (left(&c.id), c.id.clone())));
                 changed.push((number, users, changes));
             } else {
-                self.send(now, number, changes);
+                self.send(now, number, changes, true);
             }
         }
         let (head, hasty) = (self.charter.message_head, hasty.into_iter().map(|h| h.1).collect::<Vec<Id>>());
@@ -419,11 +421,12 @@
         let cost = |n| changed.iter().map(|(_, users, c)| users * (head + lines(n, c))).sum::<f64>();
         let mut n = Self::piece(hasty.len(), self.room(now, true, |p| p.bound), cost);
         // Many small pieces would cost more in heads than they carry.
-        if n < hasty.len() && cost(n) < self.charter.most_waiting / 2.0 {
+        if n < hasty.len() && (n as f64) < head * PIECE {
             n = 0;
         }
         let paid = self.ledger.ordered + if n > 0 { cost(n) } else { 0.0 };
         let mut late = n < hasty.len();
+        let due = due && !late;
         // The table that has waited longest first, or one that always changes would take all the room.
         changed.sort_by_key(|(number, ..)| self.tbls[number].sent);
         for (number, users, mut changes) in changed {
@@ -439,9 +442,9 @@
             if urgent == 0 && (room < 0.0 || (room as usize) < rest && room < head) {
                 continue;
             }
-            let mut more = room as usize;
+            let mut more = if due || n == hasty.len() { room as usize } else { 0 };
             changes.retain(|c| goes(n, c) || !c.urgent && more > 0 && (more -= 1, true).1);
-            self.send(now, number, changes);
+            self.send(now, number, changes, n == hasty.len());
         }
         let took = (self.ledger.ordered - paid) / self.charter.channel_rate.max(1.0);
         if took > 0.0 {
@@ -488,7 +491,7 @@
         }
     }
 
-    fn send(&mut self, now: Moment, number: u32, changes: Vec<Change>) {
+    fn send(&mut self, now: Moment, number: u32, changes: Vec<Change>, all: bool) {
         let (mut orders, mut back) = (0, 0);
         let admitted = |level: &f64| match self.charter.admission {
             Admission::Share => *level,
@@ -509,7 +512,7 @@
             tbl.lines.insert(id, weight);
         }
         tbl.lines.retain(|_, weight| *weight > 0.0);
-        for (k, level) in levels.into_iter().enumerate() {
+        for (k, level) in levels.into_iter().enumerate().filter(|_| all) {
             if tbl.levels.insert(k, level) != Some(level) {
                 self.host.level(number, 1 << k, level, RETRY);
                 orders += 1;
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -302,15 +302,28 @@
 #[test]
 fn a_long_queue_holds_ordinary_changes_back() {
     let mut rules = running(charter(), &["a"], 1);
-    rules.ledger.note(at(2.0), 0, 920.0, 0.0);
-    assert!(rules.room(at(20.0), false, |_| true) <= 0.0 || rules.room(at(2.0), true, |_| true) > 0.0);
+    rules.ledger = Ledger::default();
+    rules.ledger.note(at(2.0), 0, 895.0, 0.0);
+    assert!(rules.room(at(2.0), false, |_| true) < 1.0 && rules.room(at(2.0), true, |_| true) > 4.0);
+}
+
+#[test]
+fn while_drains_wait_for_room_nothing_else_goes() {
+    let ids: Vec<String> = (10..70).map(|k| k.to_string()).collect();
+    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+    let mut rules = running(Charter { messages_most: 0, ..charter() }, &ids, 30);
+    rules.proxies.values_mut().for_each(|p| p.bound = true);
+    rules.servers.values_mut().for_each(|s| s.standing = Draining);
+    rules.levels[0] = 0.5;
+    rules.turn(at(60.0));
+    assert!(rules.host.count("line") < 60 && rules.host.count("level") == 0);
 }
 
 #[test]
 fn no_further_try_is_ever_ordered() {
     let mut rules = running(charter(), &["a"], 0);
     rules.tbls.insert(0, Tbl::default());
-    rules.send(at(1.0), 0, Vec::new());
+    rules.send(at(1.0), 0, Vec::new(), true);
     assert_eq!(rules.host.count("level"), rules.host.said.iter().filter(|s| s.ends_with("Never")).count());
     assert_eq!(rules.host.count("level"), 2);
 }
