--- a/src/rules.rs
+++ b/src/rules.rs
@@ -389,7 +389,7 @@
         let thin = unbound && lost > self.servers.len() as f64 * THIN;
         // Else binds can wait longest: each takes what a line to all would.
         let late = self.publish(now, now >= self.gathered && !thin);
-        if !late || thin {
+        if !late {
             self.bind_waiting(now);
         }
         if late {
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -315,8 +315,9 @@
     rules.proxies.values_mut().for_each(|p| p.bound = true);
     rules.servers.values_mut().for_each(|s| s.standing = Draining);
     rules.levels[0] = 0.5;
+    rules.proxy_joined(at(59.0), 99, 0, 10.0, true);
     rules.turn(at(60.0));
-    assert!(rules.host.count("line") < 60 && rules.host.count("level") == 0);
+    assert!(rules.host.count("line") < 60 && rules.host.count("level") + rules.host.count("bind") == 0);
 }
 
 #[test]
