--- a/src/rules.rs
+++ b/src/rules.rs
@@ -58,11 +58,11 @@
 const PACE_TRUSTED: f64 = 0.04;
 const MARKED_FROM: f64 = 0.05;
 /// The part of the fleet whose leaving at once must find room, and of the grace's lines it may take; how far
-/// above the mean chance may lie; the least piece in heads; the part whose loss makes standing tables thin.
+/// above the mean chance may lie; the least piece of the queue; the part whose loss makes standing tables thin.
 const LEAVES_AT_ONCE: f64 = 0.2;
 const FOR_LEAVING: f64 = 0.9;
 const CHANCE: f64 = 1.5;
-const PIECE: f64 = 6.0;
+const PIECE: f64 = 0.4;
 const THIN: f64 = 0.2;
 /// Changes are gathered for so many times their way through the channel; one goes out if it is so great a
 /// part of a mean line for each second that a line takes to all of a table.
@@ -421,7 +421,7 @@
         let cost = |n| changed.iter().map(|(_, users, c)| users * (head + lines(n, c))).sum::<f64>();
         let mut n = Self::piece(hasty.len(), self.room(now, true, |p| p.bound), cost);
         // Many small pieces would cost more in heads than they carry.
-        if n < hasty.len() && (n as f64) < head * PIECE {
+        if n < hasty.len() && cost(n) < self.charter.most_waiting * PIECE {
             n = 0;
         }
         let paid = self.ledger.ordered + if n > 0 { cost(n) } else { 0.0 };
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -307,6 +307,17 @@
     assert!(rules.room(at(2.0), false, |_| true) < 1.0 && rules.room(at(2.0), true, |_| true) > 4.0);
 }
 
+#[test]
+fn more_than_a_queue_holds_goes_in_pieces_and_never_waits_for_ever() {
+    let ids: Vec<String> = (10..90).map(|k| k.to_string()).collect();
+    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+    let mut rules = running(Charter { messages_most: 0, message_head: 10.0, ..charter() }, &ids, 30);
+    rules.proxies.values_mut().for_each(|p| p.bound = true);
+    rules.servers.values_mut().skip(1).for_each(|s| s.standing = Draining);
+    rules.turn(at(90.0));
+    assert!((8..79).contains(&rules.host.count("line")));
+}
+
 #[test]
 fn while_drains_wait_for_room_nothing_else_goes() {
     let ids: Vec<String> = (10..70).map(|k| k.to_string()).collect();
