--- a/src/rules.rs
+++ b/src/rules.rs
@@ -58,9 +58,9 @@
 const PACE_TRUSTED: f64 = 0.04;
 const MARKED_FROM: f64 = 0.05;
 /// The part of the fleet whose leaving at once must find room, and of the grace's lines it may take; how far
-/// above the mean chance may lie; the least piece of the queue; the part whose loss makes standing tables thin.
+/// above the mean chance may lie; the least piece of the queue; what loss makes standing tables thin.
 const LEAVES_AT_ONCE: f64 = 0.2;
-const FOR_LEAVING: f64 = 0.9;
+const FOR_LEAVING: f64 = 0.78;
 const CHANCE: f64 = 1.5;
 const PIECE: f64 = 0.4;
 const THIN: f64 = 0.2;
@@ -274,8 +274,8 @@
     }
 
     /// What a table should hold: every listed server, at listed weight but for the exceptions; with its
-    /// weight, whether it is warm. Rule 1: no exception takes a warm server of the zone out; far ones are left
-    /// out only where all could not be taken out again in time.
+    /// weight, whether it is warm. Rule 1: no exception takes a warm server at home out; far ones stay out only
+    /// where all could not be taken out again in time.
     fn wanted(&mut self, now: Moment, number: u32) -> BTreeMap<Id, (f64, bool)> {
         let mut parts = self.parts(now);
         let Some(tbl) = self.tbls.get(&number) else { return BTreeMap::new() };
@@ -557,19 +557,19 @@
         }
     }
 
-    /// The lines that the channel carries within the grace, once they left the module.
+    /// The lines that can leave the module at once and still come within the grace.
     fn in_grace(&self) -> f64 {
-        (self.charter.drain_grace - self.charter.way_most).as_secs() * self.charter.channel_rate * FOR_LEAVING
+        let carried =
+            (self.charter.drain_grace - self.charter.way_most).as_secs() * self.charter.channel_rate;
+        carried.min(self.charter.most_waiting * MOST_LINES) * FOR_LEAVING
     }
 
-    /// How many lines a table may hold so that a part of the fleet can leave all proxies within the grace.
+    /// How many lines a table may hold so that a part of the fleet can leave twice our proxies in the grace.
     fn lines_most(&self) -> usize {
-        let each = self.in_grace() / f64::from(self.charter.proxies.max(1)) - self.charter.message_head;
-        if self.charter.channel_rate > 0.0 {
-            (each / LEAVES_AT_ONCE).max(1.0) as usize
-        } else {
-            usize::MAX
-        }
+        let proxies = f64::from(self.charter.proxies) / (f64::from(self.charter.supervisors) / 2.0).max(1.0);
+        let least =
+            if self.charter.channel_rate * self.charter.most_waiting > 0.0 { 1.0 } else { f64::INFINITY };
+        ((self.in_grace() / proxies - self.charter.message_head) / LEAVES_AT_ONCE).max(least) as usize
     }
 
     /// Lines that may wait. What can wait leaves room for a part of the fleet to leave, within the grace.
@@ -583,7 +583,7 @@
         } else if urgent {
             most
         } else {
-            (most.min(self.in_grace()) - kept()).max(most * ORDINARY_LINES)
+            (self.in_grace() - kept()).max(most * ORDINARY_LINES)
         }
     }
 
@@ -612,7 +612,7 @@
 
     /// A server that hurts more than its peers goes down a rung, whatever the cause: slow, failing, hung, cut
     /// off, or listed at more than it can do. It harms where its peers can't carry its part, so only some of
-    /// the fleet is held back, and none while the middle one hurts too: in a jam each move only moves the jam.
+    /// the fleet is held back, and none while the middle one hurts too: in a jam a move only moves the jam.
     /// Each rung is let go by itself after a rest, longer with each strike.
     fn judge(&mut self, now: Moment) {
         let mut fleet = Histogram::<5>::default();
--- a/src/testing.rs
+++ b/src/testing.rs
@@ -63,6 +63,7 @@
         settle: Span::secs(0.1),
         report_every: Span::secs(1.0),
         proxies: 4,
+        supervisors: 1,
         standing_most: 5,
         channel_rate: 1000.0,
         message_head: 3.0,
