--- a/src/rules.rs
+++ b/src/rules.rs
@@ -274,8 +274,8 @@
     }
 
     /// What a table should hold: every listed server, at listed weight but for the exceptions; with its
-    /// weight, whether it is warm. Rule 1: no exception takes a warm server at home out; far ones stay out only
-    /// where all could not be taken out again in time.
+    /// weight, whether it is warm. Rule 1: no exception takes a warm server at home out; far ones stay out
+    /// only where all could not be taken out again in time.
     fn wanted(&mut self, now: Moment, number: u32) -> BTreeMap<Id, (f64, bool)> {
         let mut parts = self.parts(now);
         let Some(tbl) = self.tbls.get(&number) else { return BTreeMap::new() };
