--- a/src/rules.rs
+++ b/src/rules.rs
@@ -564,12 +564,12 @@
         carried.min(self.charter.most_waiting * MOST_LINES) * FOR_LEAVING
     }
 
-    /// How many lines a table may hold so that a part of the fleet can leave twice our proxies in the grace.
+    /// How many lines a table may hold so that a part of the fleet can leave half as many proxies again.
     fn lines_most(&self) -> usize {
-        let proxies = f64::from(self.charter.proxies) / (f64::from(self.charter.supervisors) / 2.0).max(1.0);
-        let least =
-            if self.charter.channel_rate * self.charter.most_waiting > 0.0 { 1.0 } else { f64::INFINITY };
-        ((self.in_grace() / proxies - self.charter.message_head) / LEAVES_AT_ONCE).max(least) as usize
+        let shares = (f64::from(self.charter.supervisors) / CHANCE).max(1.0);
+        let each = self.in_grace() * shares / f64::from(self.charter.proxies) - self.charter.message_head;
+        let bounded = self.charter.channel_rate * self.charter.most_waiting > 0.0;
+        (each / LEAVES_AT_ONCE).max(if bounded { 1.0 } else { f64::INFINITY }) as usize
     }
 
     /// Lines that may wait. What can wait leaves room for a part of the fleet to leave, within the grace.
@@ -583,7 +583,7 @@
         } else if urgent {
             most
         } else {
-            (self.in_grace() - kept()).max(most * ORDINARY_LINES)
+            (self.in_grace() / FOR_LEAVING - kept()).max(most * ORDINARY_LINES)
         }
     }
 
