--- a/src/rules.rs
+++ b/src/rules.rs
@@ -52,7 +52,7 @@
 /// Parts of the waiting lines and messages that may be used, in all and by what can wait; messages kept back
 /// for drains; the part of its stated pace that a channel is trusted with until proxies say what has come.
 const MOST_LINES: f64 = 0.9;
-const ORDINARY_LINES: f64 = 0.15;
+const ORDINARY_LINES: f64 = 0.08;
 const ORDINARY_MESSAGES: f64 = 0.5;
 const BURST: usize = 3;
 const PACE_TRUSTED: f64 = 0.04;
