--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -66,11 +66,6 @@
         (self.waiting, self.ordered) = ((self.waiting(now) + lines, now), self.ordered + lines);
     }
 
-    /// Whether this moment has a message for the proxy already.
-    pub fn reaches(&self, now: Moment, proxy: u32) -> bool {
-        self.replies.back().is_some_and(|reply| reply.at == now && reply.lines.contains_key(&proxy))
-    }
-
     /// A number for this moment's messages, each a line longer for it; nothing where there are none.
     pub fn mark(&mut self, now: Moment) -> Option<u32> {
         let reply = self.replies.back_mut().filter(|reply| reply.at == now)?;
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -248,14 +248,19 @@
     assert_eq!(rules.host.count("line"), 0);
 }
 
-#[test]
-fn of_many_that_left_who_left_first_goes_first() {
-    let ids: Vec<String> = (10..60).map(|k| k.to_string()).collect();
+/// Thirty bound proxies and servers "10" up to below `last`, more than the channel carries at once.
+fn crowded(message_head: f64, last: u32) -> Rules<crate::testing::Recorder> {
+    let ids: Vec<String> = (10..last).map(|k| k.to_string()).collect();
     let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
-    let mut rules = running(Charter { messages_most: 0, ..charter() }, &ids, 30);
+    let mut rules = running(Charter { messages_most: 0, message_head, ..charter() }, &ids, 30);
     rules.proxies.values_mut().for_each(|p| p.bound = true);
-    for (k, id) in ids.iter().enumerate() {
-        let server = rules.servers.get_mut(*id).unwrap();
+    rules
+}
+
+#[test]
+fn of_many_that_left_who_left_first_goes_first() {
+    let mut rules = crowded(3.0, 60);
+    for (k, server) in rules.servers.values_mut().enumerate() {
         (server.standing, server.left) = (Draining, at(9.0 - k as f64 / 100.0));
     }
     rules.turn(at(60.0));
@@ -310,10 +315,7 @@
 
 #[test]
 fn more_than_a_queue_holds_goes_in_pieces_and_never_waits_for_ever() {
-    let ids: Vec<String> = (10..90).map(|k| k.to_string()).collect();
-    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
-    let mut rules = running(Charter { messages_most: 0, message_head: 10.0, ..charter() }, &ids, 30);
-    rules.proxies.values_mut().for_each(|p| p.bound = true);
+    let mut rules = crowded(10.0, 90);
     rules.servers.values_mut().skip(1).for_each(|s| s.standing = Draining);
     rules.turn(at(90.0));
     assert!((8..79).contains(&rules.host.count("line")));
@@ -321,10 +323,7 @@
 
 #[test]
 fn while_drains_wait_for_room_nothing_else_goes() {
-    let ids: Vec<String> = (10..70).map(|k| k.to_string()).collect();
-    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
-    let mut rules = running(Charter { messages_most: 0, ..charter() }, &ids, 30);
-    rules.proxies.values_mut().for_each(|p| p.bound = true);
+    let mut rules = crowded(3.0, 70);
     rules.servers.values_mut().for_each(|s| s.standing = Draining);
     rules.levels[0] = 0.5;
     rules.proxy_joined(at(59.0), 99, 0, 10.0, true);
