--- a/src/host.rs
+++ b/src/host.rs
@@ -29,7 +29,7 @@
     pub started: Option<Moment>,
 }
 
-/// When a proxy tries another server.
+/// When a proxy tries another server; the protocols number these from 0 in this order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Retry {
     Never,
@@ -42,14 +42,16 @@
 pub trait Host {
     /// Sets one line of a table; weight 0 takes it out.
     fn line(&mut self, tbl: u32, server: &Id, weight: f64);
-    /// Puts a joined proxy on a table for some products.
-    fn bind(&mut self, proxy: u32, tbl: u32, products: Products);
+    /// Puts a joined proxy on a table, for all products.
+    fn bind(&mut self, proxy: u32, tbl: u32);
     /// Bars all joined proxies from a server, whatever tables they hold, or lets them back.
     fn withdraw(&mut self, server: &Id, out: bool);
     /// What part of some products a table lets in, and when its proxies try again.
     fn level(&mut self, tbl: u32, products: Products, admitted: f64, retry: Retry);
     /// Asks each proxy that this moment's orders reach to tell when they have come.
     fn mark(&mut self, number: u32);
+    /// Sends once more what `Rules::orders_lost` was told of.
+    fn repeat(&mut self);
     /// Subscribes to the list.
     fn follow_list(&mut self);
     fn wake(&mut self, after: Span, label: u64);
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -66,6 +66,15 @@
         (self.waiting, self.ordered) = ((self.waiting(now) + lines, now), self.ordered + lines);
     }
 
+    /// The latest moment's messages once more, with the same number: they may have left twice. Tells their lines.
+    pub fn again(&mut self, now: Moment) -> f64 {
+        let Some(last) = self.replies.back() else { return 0.0 };
+        let (number, lines) = (last.number, last.lines.clone());
+        lines.iter().for_each(|(proxy, lines)| self.note(now, *proxy, *lines, 0.0));
+        self.replies.iter_mut().filter(|reply| reply.at == now).for_each(|reply| reply.number = number);
+        lines.values().sum()
+    }
+
     /// A number for this moment's messages, each a line longer for it; nothing where there are none.
     pub fn mark(&mut self, now: Moment) -> Option<u32> {
         let reply = self.replies.back_mut().filter(|reply| reply.at == now)?;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -21,6 +21,7 @@
 const HEARTBEAT: u64 = 2;
 const SUBSCRIBE: u64 = 3;
 const LOOK: u64 = 4;
+const REPEAT: u64 = 5;
 
 /// The design's open values: the gathering of changes, the heartbeat, the budget of a first join.
 const GATHER: Span = Span::from_us(1_000_000);
@@ -29,6 +30,7 @@
 const JOINS_GATHERED: Span = Span::from_us(150_000);
 const SUBSCRIBE_AGAIN: Span = Span::from_us(700_000);
 const LOOK_AGAIN: Span = Span::from_us(50_000);
+const REPEAT_AFTER: Span = Span::from_us(60_000);
 
 /// New servers start at `RAMP_FROM` of their weight; a warming line is sent when it is off by `STEP`. The
 /// ramp stays under an even warm-up: a storm finds a cold server with any spare it was given.
@@ -110,6 +112,7 @@
     gathered: Moment,
     look_set: bool,
     heartbeat_set: bool,
+    unanswered: bool,
 }
 
 impl<H: Host> Rules<H> {
@@ -135,6 +138,7 @@
             gathered: now,
             look_set: false,
             heartbeat_set: false,
+            unanswered: false,
         }
     }
 
@@ -232,6 +236,7 @@
     pub fn woke(&mut self, now: Moment, label: u64) {
         match label {
             SUBSCRIBE => return self.host.follow_list(),
+            REPEAT => return self.host.repeat(),
             HEARTBEAT => self.heartbeat_set = false,
             LOOK => self.look_set = false,
             TURN => {
@@ -268,11 +273,6 @@
         self.ready().map(part).collect()
     }
 
-    /// A table's own order of the servers, so that what one can't hold another does.
-    fn rank(id: &Id, number: u32) -> u32 {
-        id.bytes().fold(number, |h, b| (h.rotate_left(5) ^ u32::from(b)).wrapping_mul(0x0100_0193))
-    }
-
     /// What a table should hold: every listed server, at listed weight but for the exceptions; with its
     /// weight, whether it is warm. Rule 1: no exception takes a warm server at home out; far ones stay out
     /// only where all could not be taken out again in time.
@@ -283,7 +283,7 @@
         if self.charter.products.iter().any(|p| p.own_zone) {
             parts.retain(|p| !far(p));
         }
-        parts.sort_by_cached_key(|p| Self::rank(&p.id, number));
+        parts.sort_by_cached_key(|p| p.rank(number));
         let stays = |p: &Part| !far(p) || tbl.lines.contains_key(&p.id);
         let mut more = self.lines_most().saturating_sub(parts.iter().filter(|p| stays(p)).count());
         let (mut parts, left_out): (Vec<Part>, Vec<Part>) =
@@ -378,8 +378,32 @@
         carried.then(|| self.look()).is_some()
     }
 
+    /// A moment's orders came to nothing, or nobody knows. They go again as they were, and until they have
+    /// been taken nothing else goes: what piled up behind them would come in one burst.
+    pub fn orders_lost(&mut self, now: Moment, unsure: bool) {
+        self.unanswered = true;
+        // Rule 5: if they were carried out after all, their lines wait twice.
+        let lines = if unsure { self.ledger.again(now) } else { 0.0 };
+        self.host.wake(REPEAT_AFTER + Span::secs(lines / self.charter.channel_rate.max(1.0)), REPEAT);
+    }
+
+    pub fn orders_taken(&mut self, now: Moment) {
+        if std::mem::take(&mut self.unanswered) {
+            self.turn(now);
+        }
+    }
+
+    /// A bind was not taken, most often since the proxy has just left and its leaving is not known here yet.
+    pub fn bind_declined(&mut self, now: Moment, proxy: u32) {
+        self.proxies.get_mut(&proxy).into_iter().for_each(|p| (p.bound, p.joined) = (false, now));
+        self.look();
+    }
+
     /// All that a moment orders. Where the queue is no longer short, the proxies are asked to tell what came.
     fn turn(&mut self, now: Moment) {
+        if self.unanswered {
+            return;
+        }
         if self.charter.slices > 0 {
             return self.publish_slices(now);
         }
@@ -389,11 +413,10 @@
         let thin = unbound && lost > self.servers.len() as f64 * THIN;
         // Else binds can wait longest: each takes what a line to all would.
         let late = self.publish(now, now >= self.gathered && !thin);
-        if !late {
-            self.bind_waiting(now);
-        }
         if late {
             self.look();
+        } else {
+            self.bind_waiting(now);
         }
         if self.ledger.waiting(now) > self.charter.most_waiting * MARKED_FROM {
             self.ledger.mark(now).into_iter().for_each(|number| self.host.mark(number));
@@ -548,7 +571,7 @@
             } else if tbl.lines.keys().any(|id| self.servers[id].ready())
                 || fresh && now - joined >= JOIN_BUDGET
             {
-                self.host.bind(proxy, number, 0);
+                self.host.bind(proxy, number);
                 self.proxies.get_mut(&proxy).expect("just read").bound = true;
                 self.ledger.note(now, proxy, lines, head);
             } else if !std::mem::replace(&mut self.heartbeat_set, true) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -63,6 +63,13 @@
     pub warmth: f64,
 }
 
+impl Part {
+    /// A table's own order of the servers, so that what one can't hold another does.
+    pub fn rank(&self, tbl: u32) -> u32 {
+        self.id.bytes().fold(tbl, |h, b| (h.rotate_left(5) ^ u32::from(b)).wrapping_mul(0x0100_0193))
+    }
+}
+
 pub struct Proxy {
     pub rate: f64,
     pub joined: Moment,
--- a/src/testing.rs
+++ b/src/testing.rs
@@ -25,8 +25,8 @@
     fn line(&mut self, tbl: u32, server: &Id, weight: f64) {
         self.said.push(format!("line {tbl} {server} {weight}"));
     }
-    fn bind(&mut self, proxy: u32, tbl: u32, products: Products) {
-        self.said.push(format!("bind {proxy} {tbl} {products}"));
+    fn bind(&mut self, proxy: u32, tbl: u32) {
+        self.said.push(format!("bind {proxy} {tbl}"));
     }
     fn withdraw(&mut self, server: &Id, out: bool) {
         self.said.push(format!("withdraw {server} {out}"));
@@ -37,6 +37,9 @@
     fn mark(&mut self, number: u32) {
         self.said.push(format!("mark {number}"));
     }
+    fn repeat(&mut self) {
+        self.said.push("repeat".into());
+    }
     fn follow_list(&mut self) {
         self.said.push("follow".into());
     }
--- /dev/null
+++ b/supervisor/src/client.rs
@@ -0,0 +1,77 @@
+//! HTTP towards one peer: hyper-util's client with a limit on each connect, answer and body. It never sends
+//! anything twice by itself: only who asked can know whether twice is once too often.
+
+use crate::errors::{chain, Came, Failed};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Bytes, Incoming};
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::client::legacy::{connect::HttpConnector, Client};
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::timeout;
+
+const CONNECT_WITHIN: Duration = Duration::from_millis(250);
+/// Peers close what stands idle; one kept for less can hardly be dead when it is used.
+const IDLE_KEPT: Duration = Duration::from_secs(3);
+
+pub struct Peer {
+    client: Client<HttpConnector, Full<Bytes>>,
+    base: String,
+}
+
+impl Peer {
+    pub fn at(address: SocketAddr) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_WITHIN));
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new())
+            .pool_idle_timeout(IDLE_KEPT)
+            .pool_max_idle_per_host(1)
+            .pool_timer(TokioTimer::new())
+            .retry_canceled_requests(false)
+            .build(connector);
+        Peer { client, base: format!("http://{address}") }
+    }
+
+    /// Sends one message and waits for the head of its answer.
+    pub async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        within: Duration,
+    ) -> Result<Response<Incoming>, Failed> {
+        let message = Request::builder()
+            .method(method)
+            .uri(format!("{}{path}", self.base))
+            .header("content-type", "application/json")
+            .body(Full::new(body))
+            .map_err(|e| Failed::new(Came::NotConnected, e))?;
+        match timeout(within, self.client.request(message)).await {
+            Err(_) => Err(Failed::new(Came::Sent, format!("silent for {} ms", within.as_millis()))),
+            Ok(Err(e)) if e.is_connect() => Err(Failed::new(Came::NotConnected, chain(&e))),
+            Ok(Err(e)) => Err(Failed::new(Came::Sent, chain(&e))),
+            Ok(Ok(answer)) => Ok(answer),
+        }
+    }
+
+    /// Sends one message and reads its whole answer, of `most` bytes.
+    pub async fn ask(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        within: Duration,
+        most: usize,
+    ) -> Result<(StatusCode, Bytes), Failed> {
+        let whole = async {
+            let answer = self.send(method, path, body, within).await?;
+            let status = answer.status();
+            let body = Limited::new(answer.into_body(), most).collect().await;
+            Ok((status, body.map_err(|e| Failed::new(Came::Answered, chain(&*e)))?.to_bytes()))
+        };
+        let slow = |_| Failed::new(Came::Answered, format!("not whole after {} ms", within.as_millis()));
+        timeout(within, whole).await.unwrap_or_else(|e| Err(slow(e)))
+    }
+}
--- /dev/null
+++ b/supervisor/src/desk.rs
@@ -0,0 +1,150 @@
+//! The rules' way out: writes what they order down as the relay reads it, keeps their wake-ups, and remembers
+//! what stands outside so that rules that broke can be opened anew.
+
+use crate::papers::Names;
+use otterwinch::host::{Host, Id, Listing, Products, Retry, Standing};
+use otterwinch::time::{Moment, Span};
+use otterwinch_hostkit::Checks;
+use serde_json::{json, Value};
+use slog::{warn, Logger};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::rc::Rc;
+use tokio::sync::Notify;
+
+/// One order in the relay's form, and whom it concerns if it can't be used.
+pub struct Order {
+    pub text: String,
+    pub proxy: Option<u32>,
+}
+
+pub struct Desk {
+    pub checks: Checks,
+    names: Rc<Names>,
+    log: Logger,
+    pub follow: Rc<Notify>,
+    pub orders: VecDeque<Order>,
+    pub ordered: u64,
+    pub again: bool,
+    /// The present moment, from which wake-ups count.
+    pub now: Moment,
+    wakes: BinaryHeap<Reverse<(Moment, u64, u64)>>,
+    woken: u64,
+    pub listed: BTreeMap<Id, Listing>,
+    /// Zone and usual rate of each proxy that is joined.
+    pub joined: BTreeMap<u32, (u32, f64)>,
+}
+
+impl Desk {
+    pub fn new(checks: Checks, names: Rc<Names>, now: Moment, log: Logger) -> Self {
+        Desk {
+            checks,
+            names,
+            log,
+            follow: Rc::new(Notify::new()),
+            orders: VecDeque::new(),
+            ordered: 0,
+            again: false,
+            now,
+            wakes: BinaryHeap::new(),
+            woken: 0,
+            listed: BTreeMap::new(),
+            joined: BTreeMap::new(),
+        }
+    }
+
+    pub fn learn(&mut self, listings: &[Listing], whole: bool) {
+        self.checks.learn(listings.iter().map(|l| &l.id));
+        if whole {
+            self.listed.clear();
+        }
+        for listing in listings {
+            if listing.standing == Standing::Gone {
+                self.listed.remove(&listing.id);
+            } else {
+                self.listed.insert(listing.id.clone(), listing.clone());
+            }
+        }
+    }
+
+    pub fn joined(&mut self, proxy: u32, zone: u32, rate: f64) {
+        self.checks.joined(proxy, true);
+        self.joined.insert(proxy, (zone, rate));
+    }
+
+    pub fn left(&mut self, proxy: u32) {
+        self.checks.joined(proxy, false);
+        self.joined.remove(&proxy);
+    }
+
+    /// For rules opened anew: what stands outside stays, what the old ones wanted is dropped.
+    pub fn cleared(&mut self) {
+        self.orders.clear();
+        self.wakes.clear();
+        self.again = false;
+    }
+
+    pub fn next_wake(&self) -> Option<Moment> {
+        self.wakes.peek().map(|wake| wake.0 .0)
+    }
+
+    /// The label of a wake-up that is due.
+    pub fn due(&mut self, now: Moment) -> Option<u64> {
+        self.next_wake().filter(|at| *at <= now)?;
+        self.wakes.pop().map(|wake| wake.0 .2)
+    }
+
+    fn say(&mut self, checked: Result<(), String>, order: Value, proxy: Option<u32>) {
+        if let Err(fault) = checked {
+            return warn!(self.log, "order against the relay's rules"; "why" => fault);
+        }
+        self.ordered += 1;
+        self.orders.push_back(Order { text: order.to_string(), proxy });
+    }
+
+    fn routes(&self, products: Products) -> Vec<&str> {
+        let all = self.names.products.iter().enumerate();
+        all.filter(|(k, _)| products >> k & 1 == 1).map(|(_, name)| name.as_str()).collect()
+    }
+}
+
+impl Host for Desk {
+    fn line(&mut self, tbl: u32, server: &Id, weight: f64) {
+        let order = json!({"op": "put", "table": tbl, "endpoint": &**server, "w": weight});
+        self.say(self.checks.line(tbl, server, weight), order, None);
+    }
+
+    fn bind(&mut self, proxy: u32, tbl: u32) {
+        let order = json!({"op": "attach", "node": proxy, "table": tbl});
+        self.say(self.checks.bind(proxy, tbl), order, Some(proxy));
+    }
+
+    fn withdraw(&mut self, server: &Id, out: bool) {
+        let order = json!({"op": if out { "eject" } else { "uneject" }, "endpoint": &**server});
+        self.say(self.checks.withdrawal(server), order, None);
+    }
+
+    fn level(&mut self, tbl: u32, products: Products, admitted: f64, retry: Retry) {
+        let (routes, policy) = (self.routes(products), retry as u8);
+        let order =
+            json!({"op": "gate", "table": tbl, "routes": routes, "admit": admitted, "policy": policy});
+        self.say(self.checks.level(tbl, admitted), order, None);
+    }
+
+    fn mark(&mut self, number: u32) {
+        self.say(Ok(()), json!({"op": "fence", "nonce_out": number}), None);
+    }
+
+    fn repeat(&mut self) {
+        self.again = true;
+    }
+
+    fn follow_list(&mut self) {
+        self.follow.notify_one();
+    }
+
+    fn wake(&mut self, after: Span, label: u64) {
+        self.woken += 1;
+        self.wakes.push(Reverse((self.now + after, self.woken, label)));
+    }
+}
--- /dev/null
+++ b/supervisor/src/main.rs
@@ -0,0 +1,114 @@
+//! The supervisor: the rules of `otterwinch` on sockets.
+
+mod cli;
+mod client;
+mod collectors;
+mod desk;
+mod errors;
+mod front;
+mod list;
+mod log;
+mod news;
+mod orders;
+mod papers;
+mod planner;
+
+use client::Peer;
+use papers::Papers;
+use planner::Planner;
+use slog::{error, info, Logger};
+use std::future::Future;
+use std::process::ExitCode;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::task::{spawn_local, LocalSet};
+use tokio::time::sleep;
+
+fn main() -> ExitCode {
+    let env = |name: &str| std::env::var(name).ok();
+    match cli::command().run() {
+        cli::Command::Version => {
+            println!("otterwinch {}", env!("CARGO_PKG_VERSION"));
+            ExitCode::SUCCESS
+        }
+        cli::Command::Check { file } => match Papers::from_file(file.as_deref(), env) {
+            Ok(papers) => {
+                println!("papers of {} are in order", papers.name);
+                ExitCode::SUCCESS
+            }
+            Err(faults) => faulty(&faults),
+        },
+        cli::Command::Serve => match Papers::from_file(None, env) {
+            Ok(papers) => start(papers),
+            Err(faults) => faulty(&faults),
+        },
+    }
+}
+
+fn faulty(faults: &[String]) -> ExitCode {
+    faults.iter().for_each(|fault| eprintln!("otterwinch: {fault}"));
+    ExitCode::from(2)
+}
+
+fn start(papers: Papers) -> ExitCode {
+    let (log, guard) = log::to_stderr(&papers.name);
+    let ended = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => LocalSet::new().block_on(&runtime, serve(papers, log.clone())),
+        Err(e) => Err(e),
+    };
+    let code = match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            error!(log, "ended"; "why" => %e);
+            ExitCode::FAILURE
+        }
+    };
+    drop((log, guard));
+    code
+}
+
+async fn serve(papers: Papers, log: Logger) -> std::io::Result<()> {
+    let mut told_to_end = signal(SignalKind::terminate())?;
+    let (listen, names, list, relay) = (papers.listen, papers.names.clone(), papers.list, papers.relay);
+    let orders = orders::Orders::to(Peer::at(relay));
+    let (mut planner, ear, page) = Planner::open(papers, orders, log.clone());
+    let follow = planner.follow();
+    let listener = TcpListener::bind(listen).await?;
+    info!(log, "started"; "version" => env!("CARGO_PKG_VERSION"), "listen" => %listen);
+    let front = front::Front { names: names.clone(), ear: ear.clone(), page, log: log.clone() };
+    spawn_local(front::serve(listener, front));
+    {
+        let (names, ear, log) = (names.clone(), ear.clone(), log.clone());
+        kept_up("list", log.clone(), move || {
+            list::follow(Peer::at(list), names.clone(), follow.clone(), ear.clone(), log.clone())
+        });
+    }
+    {
+        let log = log.clone();
+        kept_up("news", log.clone(), move || {
+            news::follow(Peer::at(relay), names.clone(), ear.clone(), log.clone())
+        });
+    }
+    tokio::select! {
+        () = planner.run() => {}
+        _ = told_to_end.recv() => info!(log, "told to end"),
+    }
+    Ok(())
+}
+
+/// Starts a peer's task, and starts it again should it break: a slip there must not cost the supervisor.
+fn kept_up<F: Future<Output = ()> + 'static>(
+    peer: &'static str,
+    log: Logger,
+    task: impl Fn() -> F + 'static,
+) {
+    spawn_local(async move {
+        loop {
+            if let Err(broken) = spawn_local(task()).await {
+                error!(log, "a peer's task broke and is started anew"; "peer" => peer, "why" => %broken);
+            }
+            sleep(Duration::from_millis(100)).await;
+        }
+    });
+}
--- /dev/null
+++ b/supervisor/src/orders.rs
@@ -0,0 +1,93 @@
+//! The relay's orders: one call at a time, in the order they were given. What became of a call is told to
+//! the rules, and they say whether and when it goes again.
+
+use crate::client::Peer;
+use crate::desk::Order;
+use crate::errors::{Came, Failed};
+use hyper::body::Bytes;
+use hyper::Method;
+use serde_json::Value;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+const MOST_BYTES: usize = 60_000;
+/// An answer comes within 50 ms or never; the rest is for a process that is scheduled late.
+const ANSWER_WITHIN: Duration = Duration::from_millis(200);
+const MOST_ANSWER: usize = 64 << 10;
+
+pub enum Fate {
+    Taken,
+    /// All before this one were taken, it can't be used, and the rest is still in hand.
+    Declined(Order),
+    Lost(Failed),
+}
+
+pub struct Orders {
+    peer: Peer,
+    pub in_hand: VecDeque<Order>,
+    pub calls: u64,
+}
+
+impl Orders {
+    pub fn to(peer: Peer) -> Self {
+        Orders { peer, in_hand: VecDeque::new(), calls: 0 }
+    }
+
+    /// Sends what is in hand, in calls that are not too long, until all is taken or something stops it.
+    pub async fn deliver(&mut self) -> Fate {
+        while !self.in_hand.is_empty() {
+            let (body, count) = body(&self.in_hand);
+            self.calls += 1;
+            match self.call(body, count).await {
+                Ok(taken) => {
+                    self.in_hand.drain(..taken);
+                    if taken < count {
+                        if let Some(declined) = self.in_hand.pop_front() {
+                            return Fate::Declined(declined);
+                        }
+                    }
+                }
+                Err(failed) => return Fate::Lost(failed),
+            }
+        }
+        Fate::Taken
+    }
+
+    async fn call(&self, body: String, count: usize) -> Result<usize, Failed> {
+        let body = Bytes::from(body);
+        let path = "/v3/kv/batches";
+        let (status, answer) = self.peer.ask(Method::POST, path, body, ANSWER_WITHIN, MOST_ANSWER).await?;
+        let value: Result<Value, _> = serde_json::from_slice(&answer);
+        let taken = value.as_ref().ok().and_then(|v| v.get("taken")?.as_u64()).map(|n| n as usize);
+        match taken.filter(|taken| *taken <= count) {
+            Some(taken) if status.is_success() => Ok(taken),
+            _ => {
+                let came = if status.is_success() || status.is_server_error() && value.is_err() {
+                    Came::Answered
+                } else {
+                    Came::TurnedAway
+                };
+                let text: String = String::from_utf8_lossy(&answer).chars().take(120).collect();
+                Err(Failed::new(came, format!("status {status}: {text}")))
+            }
+        }
+    }
+}
+
+/// As many orders as one call holds, and their number.
+fn body(orders: &VecDeque<Order>) -> (String, usize) {
+    let mut text = String::from(r#"{"changes":["#);
+    let mut count = 0;
+    for order in orders {
+        if count > 0 && text.len() + order.text.len() + 3 > MOST_BYTES {
+            break;
+        }
+        if count > 0 {
+            text.push(',');
+        }
+        text.push_str(&order.text);
+        count += 1;
+    }
+    text.push_str("]}");
+    (text, count)
+}
--- /dev/null
+++ b/supervisor/src/planner.rs
@@ -0,0 +1,218 @@
+//! The task that owns the rules and the clock. One round, top to bottom: wait for something, drain all that is
+//! ready, tell it to the rules with one moment, send what they ordered as one call, tell them what became of it.
+
+use crate::desk::Desk;
+use crate::orders::{Fate, Orders};
+use crate::papers::Papers;
+use otterwinch::host::Listing;
+use otterwinch::rules::Rules;
+use otterwinch::time::{Moment, Span};
+use serde_json::json;
+use slog::{error, info, warn, Logger};
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::sync::{mpsc, watch};
+use tokio::time::sleep;
+
+const QUEUE: usize = 4096;
+const SUMMARY_EVERY: Span = Span::from_us(10_000_000);
+const PAGE_EVERY: Span = Span::from_us(1_000_000);
+
+pub type Told = Box<dyn FnOnce(&mut Rules<Desk>, Moment)>;
+
+/// What the tasks of the peers speak to. Where the planner is behind, they wait.
+#[derive(Clone)]
+pub struct Ear(mpsc::Sender<Told>);
+
+impl Ear {
+    pub async fn tell(&self, told: impl FnOnce(&mut Rules<Desk>, Moment) + 'static) {
+        // Only at the end of the process is nobody there to listen.
+        let _ = self.0.send(Box::new(told)).await;
+    }
+}
+
+/// Unix time that never steps: the system's clock once, then the steady one.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    began: Instant,
+    unix: Span,
+}
+
+impl Clock {
+    pub fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { began: Instant::now(), unix: Span::from_us(unix.as_micros() as i64) }
+    }
+
+    pub fn now(&self) -> Moment {
+        Moment::from_us(self.unix.as_us() + self.began.elapsed().as_micros() as i64)
+    }
+}
+
+pub struct Planner {
+    rules: Rules<Desk>,
+    papers: Papers,
+    clock: Clock,
+    orders: Orders,
+    /// A call came to nothing: what is in hand goes again when the rules say so, and nothing before it.
+    lost: bool,
+    told: mpsc::Receiver<Told>,
+    page: watch::Sender<String>,
+    log: Logger,
+    opened: u64,
+    lost_calls: u64,
+    paged: Moment,
+    summed: Moment,
+}
+
+impl Planner {
+    pub fn open(papers: Papers, orders: Orders, log: Logger) -> (Self, Ear, watch::Receiver<String>) {
+        let clock = Clock::start();
+        let now = clock.now();
+        let desk = Desk::new(papers.checks(), papers.names.clone(), now, log.clone());
+        let mut rules = Rules::open(desk, papers.charter.clone(), papers.seed, now);
+        rules.host().learn(&papers.known, true);
+        rules.list_whole(now, &papers.known);
+        let (ear, told) = mpsc::channel(QUEUE);
+        let (page, shown) = watch::channel(String::from("{}"));
+        let (lost, opened, lost_calls) = (false, 1, 0);
+        let (paged, summed) = (now, now);
+        let planner = Planner {
+            rules,
+            papers,
+            clock,
+            orders,
+            lost,
+            told,
+            page,
+            log,
+            opened,
+            lost_calls,
+            paged,
+            summed,
+        };
+        (planner, Ear(ear), shown)
+    }
+
+    pub fn follow(&mut self) -> std::rc::Rc<tokio::sync::Notify> {
+        self.rules.host().follow.clone()
+    }
+
+    pub async fn run(mut self) {
+        loop {
+            let first = self.wait().await;
+            let now = self.clock.now();
+            self.rules.host().now = now;
+            let mut next = first;
+            for _ in 0..QUEUE {
+                match next.or_else(|| self.told.try_recv().ok()) {
+                    Some(told) => self.guarded(now, told),
+                    None => break,
+                }
+                next = None;
+            }
+            while let Some(label) = self.rules.host().due(now) {
+                self.guarded(now, Box::new(move |rules, now| rules.woke(now, label)));
+            }
+            self.send().await;
+            self.report();
+        }
+    }
+
+    /// The first that comes: something told, or nothing where a wake-up is due.
+    async fn wait(&mut self) -> Option<Told> {
+        let now = self.clock.now();
+        let at = self.rules.host().next_wake().unwrap_or(now + PAGE_EVERY);
+        let left = Duration::from_micros((at - now).as_us().max(0) as u64);
+        tokio::select! {
+            biased;
+            told = self.told.recv() => told,
+            () = sleep(left) => None,
+        }
+    }
+
+    /// Sends what this moment ordered. While a call's fate is open nothing overtakes it.
+    async fn send(&mut self) {
+        loop {
+            let again = std::mem::take(&mut self.rules.host().again);
+            if self.lost && !again {
+                return;
+            }
+            let fresh = std::mem::take(&mut self.rules.host().orders);
+            self.orders.in_hand.extend(fresh);
+            if self.orders.in_hand.is_empty() && !self.lost {
+                return;
+            }
+            let fate = self.orders.deliver().await;
+            let now = self.clock.now();
+            self.rules.host().now = now;
+            match fate {
+                Fate::Taken => {
+                    if std::mem::take(&mut self.lost) {
+                        info!(self.log, "relay takes orders again");
+                    }
+                    self.guarded(now, Box::new(|rules, now| rules.orders_taken(now)));
+                }
+                Fate::Declined(order) => {
+                    warn!(self.log, "order declined by the relay"; "order" => &order.text);
+                    if let Some(proxy) = order.proxy {
+                        self.guarded(now, Box::new(move |rules, now| rules.bind_declined(now, proxy)));
+                    }
+                    self.rules.host().again = self.lost;
+                }
+                Fate::Lost(failed) => {
+                    self.lost_calls += 1;
+                    if !std::mem::replace(&mut self.lost, true) {
+                        warn!(self.log, "orders lost"; "why" => %failed, "orders" => self.orders.in_hand.len());
+                    }
+                    let unsure = failed.unsure();
+                    self.guarded(now, Box::new(move |rules, now| rules.orders_lost(now, unsure)));
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Rules that break are opened anew from what stands outside, as after a start.
+    fn guarded(&mut self, now: Moment, told: Told) {
+        let Err(cause) = catch_unwind(AssertUnwindSafe(|| told(&mut self.rules, now))) else { return };
+        let text = cause.downcast_ref::<String>().map(String::as_str);
+        let text = text.or(cause.downcast_ref::<&str>().copied()).unwrap_or("unknown");
+        error!(self.log, "the rules broke and are opened anew"; "cause" => text);
+        let new = Desk::new(self.papers.checks(), self.papers.names.clone(), now, self.log.clone());
+        let mut desk = std::mem::replace(self.rules.host(), new);
+        desk.cleared();
+        self.orders.in_hand.clear();
+        (self.lost, self.opened) = (false, self.opened + 1);
+        let listings: Vec<Listing> = desk.listed.values().cloned().collect();
+        let joined: Vec<(u32, (u32, f64))> = desk.joined.iter().map(|(proxy, at)| (*proxy, *at)).collect();
+        let seed = self.papers.seed.wrapping_add(self.opened);
+        self.rules = Rules::open(desk, self.papers.charter.clone(), seed, now);
+        let tell = |rules: &mut Rules<Desk>| {
+            rules.list_whole(now, &listings);
+            joined.iter().for_each(|(p, (zone, rate))| rules.proxy_joined(now, *p, *zone, *rate, false));
+        };
+        if catch_unwind(AssertUnwindSafe(|| tell(&mut self.rules))).is_err() {
+            error!(self.log, "the rules broke again on what stands");
+        }
+    }
+
+    fn report(&mut self) {
+        let now = self.clock.now();
+        if now - self.paged < PAGE_EVERY {
+            return;
+        }
+        self.paged = now;
+        let (calls, lost_calls, opened, lost) = (self.orders.calls, self.lost_calls, self.opened, self.lost);
+        let desk = self.rules.host();
+        let (servers, proxies, ordered) = (desk.listed.len(), desk.joined.len(), desk.ordered);
+        let page = json!({"servers": servers, "proxies": proxies, "orders": ordered, "calls": calls,
+            "calls_lost": lost_calls, "opened": opened, "relay_away": lost});
+        self.page.send_replace(page.to_string());
+        if now - self.summed >= SUMMARY_EVERY {
+            self.summed = now;
+            info!(self.log, "summary"; "servers" => servers, "proxies" => proxies, "orders" => ordered,
+                "calls" => calls, "calls_lost" => lost_calls, "opened" => opened);
+        }
+    }
+}
--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -3,11 +3,11 @@
 mod decode;
 mod desk;
 
-use decode::Fields;
 use desk::Desk;
 use otterwinch::host::Listing;
 use otterwinch::rules::Rules;
 use otterwinch::time::{Moment, Span};
+use otterwinch_hostkit::{charter, Fields};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -52,7 +52,7 @@
     fn take(&mut self, line: &[u8]) -> Result<bool, String> {
         let value: serde_json::Value =
             serde_json::from_slice(line).map_err(|e| format!("not a JSON value: {e}"))?;
-        let f = Fields::of(&value)?;
+        let f = Fields::of(&value, "kind")?;
         match f.kind {
             "TICK" => {
                 (self.now, self.serial) = (Moment::from_us(f.int("timeUs")?), f.whole("serial")?);
@@ -63,7 +63,7 @@
             }
             "UP" => {
                 let (who, env) = (f.whole("who")?, f.object("env")?);
-                let (charter, desk) = (decode::charter(&env), Desk::new(who, &env));
+                let (charter, desk) = (charter(&env), Desk::new(who, &env));
                 let seed = f.whole("entropy")?;
                 let now = self.now;
                 self.guarded(who, |hosted| {
@@ -92,7 +92,7 @@
                     let listings =
                         self.pages.get(&page).ok_or(format!("TOPOLOGY: page {page} never came"))?.clone();
                     Box::new(move |rules| {
-                        rules.host().learn(listings.iter().map(|l| &l.id));
+                        rules.host().checks.learn(listings.iter().map(|l| &l.id));
                         if form == 0 {
                             rules.list_changed(now, &listings)
                         } else {
@@ -106,14 +106,14 @@
                 let (px, zone, fresh) = (f.small("px")?, f.small("campus")?, f.mark("set"));
                 let rate = f.count("weight")?;
                 Box::new(move |rules| {
-                    rules.host().joined(px, true);
+                    rules.host().checks.joined(px, true);
                     rules.proxy_joined(now, px, zone, rate, fresh);
                 })
             }
             "STREAM_DOWN" => {
                 let px = f.small("px")?;
                 Box::new(move |rules| {
-                    rules.host().joined(px, false);
+                    rules.host().checks.joined(px, false);
                     rules.proxy_left(px);
                 })
             }
@@ -135,7 +135,7 @@
             "ASSIGNED_TO_ME" => {
                 let (slice, given) = (f.small("mapId")?, f.mark("set"));
                 Box::new(move |rules| {
-                    rules.host().charged(slice, given);
+                    rules.host().checks.charged(slice, given);
                     if given {
                         rules.slice_given(slice)
                     } else {
@@ -147,7 +147,7 @@
                 let (slice, id, weight) = (f.small("mapId")?, f.text("server")?, f.count("weight")?);
                 Box::new(move |rules| {
                     let id = id.into();
-                    rules.host().learn([&id].into_iter());
+                    rules.host().checks.learn([&id].into_iter());
                     rules.slice_line(slice, &id, weight)
                 })
             }
--- a/wirehost/src/tests.rs
+++ b/wirehost/src/tests.rs
@@ -92,7 +92,7 @@
     use otterwinch::host::Host;
     let mut hosted = up_with(&["a:1"]);
     let desk = hosted.instances.get_mut(&3).unwrap().host();
-    desk.bind(5, 0, 0);
+    desk.bind(5, 0);
     desk.line(0, &"nobody:1".into(), 1.0);
     desk.line(0, &"a:1".into(), -1.0);
     desk.line(65_535, &"a:1".into(), 1.0);
