--- a/src/charter.rs
+++ b/src/charter.rs
@@ -54,3 +54,10 @@
     /// A server merely dropped from the list need not be left.
     pub only_drains_bind: bool,
 }
+
+impl Charter {
+    /// The lines that leave the channel and still come within the grace of a drain.
+    pub fn carried_in_grace(&self) -> f64 {
+        (self.drain_grace - self.way_most).as_secs() * self.channel_rate
+    }
+}
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -23,6 +23,8 @@
 /// assert_eq!(ledger.waiting(now), 8.0);
 /// assert_eq!(ledger.waiting(now + Span::secs(1.0)), 6.0);
 /// assert_eq!(ledger.messages(now, 1, Span::secs(1.0)), (1, Some(now)));
+/// assert_eq!(ledger.again(now + Span::secs(1.0)), 8.0);
+/// assert_eq!(ledger.waiting(now + Span::secs(1.0)), 14.0);
 /// ```
 #[derive(Debug, Default)]
 pub struct Ledger {
@@ -66,7 +68,7 @@
         (self.waiting, self.ordered) = ((self.waiting(now) + lines, now), self.ordered + lines);
     }
 
-    /// The latest moment's messages once more, with the same number: they may have left twice. Tells their lines.
+    /// The latest moment's messages once more, with their number: they may leave twice. Tells their lines.
     pub fn again(&mut self, now: Moment) -> f64 {
         let Some(last) = self.replies.back() else { return 0.0 };
         let (number, lines) = (last.number, last.lines.clone());
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,19 +1,18 @@
 //! All decisions of a supervisor, its tables and its tuned values. The host calls one method for each thing
-//! that happens (`list_changed`, `proxy_joined`, `met`, `woke` ...) with the present moment; the rules act
-//! at once through the `Host` handed to them by `open`: that interface is `host.rs`, what is read at start is
-//! `charter.rs`. Calls never nest, and a moment's orders travel together.
+//! that happens (`list_changed`, `met`, `woke` ...) with the present moment; the rules act at once through
+//! the `Host` (`host.rs`) given to `open`, and read `charter.rs`. A moment's orders travel together.
 //!
 //! The ordinary path is that of docs/design.md: few shared tables of the listed servers at listed weight,
 //! looked at every turn, only changes sent. `turn` is the one place where they go out. The guards: rule 1
-//! `wanted` and `bind_waiting`, rule 2 `RETRY` and `publish_slices`, rule 3 `leaving` in `publish`, rule 4
-//! `warmth` and `eased`, rule 5 `room`.
+//! `wanted`, `bind_waiting`, rule 2 `RETRY`, `publish_slices`, `orders_lost`, rule 3 `leaving` in `publish`,
+//! rule 4 `warmth`, `eased`, rule 5 `room`.
 
 use crate::chance::Chance;
 use crate::charter::{Admission, Charter};
 use crate::histogram::Histogram;
 use crate::host::{Host, Id, Listing, Products, Retry, Standing};
 use crate::ledger::Ledger;
-use crate::state::{Change, Part, Proxy, Pulse, Server, Slice, Tbl};
+use crate::state::{Change, Held, Part, Proxy, Pulse, Server, Slice, Tbl};
 use crate::time::{Moment, Span};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -30,7 +29,6 @@
 const JOINS_GATHERED: Span = Span::from_us(150_000);
 const SUBSCRIBE_AGAIN: Span = Span::from_us(700_000);
 const LOOK_AGAIN: Span = Span::from_us(50_000);
-const REPEAT_AFTER: Span = Span::from_us(60_000);
 
 /// New servers start at `RAMP_FROM` of their weight; a warming line is sent when it is off by `STEP`. The
 /// ramp stays under an even warm-up: a storm finds a cold server with any spare it was given.
@@ -106,13 +104,8 @@
     slices: BTreeMap<u32, Slice>,
     levels: Vec<f64>,
     pulse: Pulse,
-    peak: f64,
     ledger: Ledger,
-    /// When what can wait may go next.
-    gathered: Moment,
-    look_set: bool,
-    heartbeat_set: bool,
-    unanswered: bool,
+    held: Held,
 }
 
 impl<H: Host> Rules<H> {
@@ -121,24 +114,20 @@
             host.follow_list();
         }
         host.wake(GATHER, TURN);
-        let (products, ledger) = (charter.products.len(), Ledger::new(charter.channel_rate * PACE_TRUSTED));
+        let products = charter.products.len();
         Rules {
             host,
-            charter,
             chance: Chance::new(seed),
             servers: BTreeMap::new(),
             tbls: BTreeMap::new(),
             proxies: BTreeMap::new(),
             usual: BTreeMap::new(),
             slices: BTreeMap::new(),
-            levels: vec![1.0; products],
+            levels: vec![if charter.admission == Admission::PerSecond { 1e6 } else { 1.0 }; products],
             pulse: Pulse { asked: vec![0.0; products], ..Pulse::default() },
-            peak: 0.0,
-            ledger,
-            gathered: now,
-            look_set: false,
-            heartbeat_set: false,
-            unanswered: false,
+            ledger: Ledger::new(charter.channel_rate * PACE_TRUSTED),
+            held: Held { gathered: now, ..Held::default() },
+            charter,
         }
     }
 
@@ -165,7 +154,7 @@
             server.zone = l.zone;
             server.stands(now, l.standing);
         }
-        self.peak = self.peak.max(self.ready_weight());
+        self.pulse.peak = self.pulse.peak.max(self.ready_weight());
         self.turn(now);
     }
 
@@ -197,7 +186,7 @@
 
     /// Something waits for room or for its time.
     fn look(&mut self) {
-        if !std::mem::replace(&mut self.look_set, true) {
+        if self.held.wakes.insert(LOOK) {
             self.host.wake(LOOK_AGAIN, LOOK);
         }
     }
@@ -210,12 +199,8 @@
     pub fn met(&mut self, now: Moment, id: &str, tries: f64, voided: f64, took: Span, over: Span) {
         let Some(server) = self.servers.get_mut(id) else { return };
         let answered = (tries - voided).max(0.0);
-        self.pulse.tries += tries;
-        self.pulse.answered += answered;
-        self.pulse.served += answered;
-        if answered > 0.0 {
-            server.heard = Some(now);
-        }
+        self.pulse.count(tries, answered);
+        server.heard = if answered > 0.0 { Some(now) } else { server.heard };
         // Reports come late, and tries that end now began earlier: they tell of the weight before the move.
         if server.rung == 0 || now - server.judged >= REPORT_LAG + over {
             let sla = self.charter.products.iter().map(|p| p.sla).min().unwrap_or_default();
@@ -234,11 +219,10 @@
     }
 
     pub fn woke(&mut self, now: Moment, label: u64) {
+        self.held.wakes.remove(&label);
         match label {
             SUBSCRIBE => return self.host.follow_list(),
             REPEAT => return self.host.repeat(),
-            HEARTBEAT => self.heartbeat_set = false,
-            LOOK => self.look_set = false,
             TURN => {
                 self.pulse.over = self.pulse.over + GATHER;
                 self.judge(now);
@@ -248,7 +232,7 @@
                 pulse.asked.iter_mut().for_each(|asked| *asked /= 2.0);
                 (pulse.tries, pulse.answered) = (pulse.tries / 4.0, pulse.answered / 4.0);
                 (pulse.served, pulse.over) = (pulse.served / 2.0, pulse.over * 0.5);
-                self.peak = (self.peak * PEAK_KEPT).max(self.ready_weight());
+                self.pulse.peak = (self.pulse.peak * PEAK_KEPT).max(self.ready_weight());
                 self.host.wake(GATHER, TURN);
             }
             _ => {}
@@ -328,7 +312,7 @@
         // A fleet that shrank, or that turns tries away and sees them again, brings a cold server more than
         // its weight says: it is cut by as much, but never so far that the warm ones fall in its place.
         let answers = self.pulse.answered.max(1.0) / self.pulse.tries.max(1.0);
-        let crowded = (self.ready_weight() / self.peak.max(1e-9) * answers).clamp(0.05, 1.0);
+        let crowded = (self.ready_weight() / self.pulse.peak.max(1e-9) * answers).clamp(0.05, 1.0);
         let cut = crowded.max(((cold + warm) / WARM_BEARS - warm) / cold.max(1e-9)).min(1.0);
         // Proxies that shun by themselves leave a failing fleet for whatever they have not tried yet, and no
         // weight is small enough: while it struggles the youngest stay out. It harms by holding them back.
@@ -381,14 +365,14 @@
     /// A moment's orders came to nothing, or nobody knows. They go again as they were, and until they have
     /// been taken nothing else goes: what piled up behind them would come in one burst.
     pub fn orders_lost(&mut self, now: Moment, unsure: bool) {
-        self.unanswered = true;
+        self.held.unanswered = true;
         // Rule 5: if they were carried out after all, their lines wait twice.
         let lines = if unsure { self.ledger.again(now) } else { 0.0 };
-        self.host.wake(REPEAT_AFTER + Span::secs(lines / self.charter.channel_rate.max(1.0)), REPEAT);
+        self.host.wake(LOOK_AGAIN + Span::secs(lines / self.charter.channel_rate.max(1.0)), REPEAT);
     }
 
     pub fn orders_taken(&mut self, now: Moment) {
-        if std::mem::take(&mut self.unanswered) {
+        if std::mem::take(&mut self.held.unanswered) {
             self.turn(now);
         }
     }
@@ -399,9 +383,14 @@
         self.look();
     }
 
+    pub fn line_declined(&mut self, tbl: u32, id: &Id) {
+        self.tbls.get_mut(&tbl).and_then(|tbl| tbl.lines.remove(id));
+        self.look();
+    }
+
     /// All that a moment orders. Where the queue is no longer short, the proxies are asked to tell what came.
     fn turn(&mut self, now: Moment) {
-        if self.unanswered {
+        if self.held.unanswered {
             return;
         }
         if self.charter.slices > 0 {
@@ -412,7 +401,7 @@
         let unbound = self.proxies.values().any(|p| !p.bound);
         let thin = unbound && lost > self.servers.len() as f64 * THIN;
         // Else binds can wait longest: each takes what a line to all would.
-        let late = self.publish(now, now >= self.gathered && !thin);
+        let late = self.publish(now, now >= self.held.gathered && !thin);
         if late {
             self.look();
         } else {
@@ -471,7 +460,7 @@
         }
         let took = (self.ledger.ordered - paid) / self.charter.channel_rate.max(1.0);
         if took > 0.0 {
-            self.gathered = now + Span::secs(took * SPARING);
+            self.held.gathered = now + Span::secs(took * SPARING);
         }
         // After the lines: a withdrawal costs nothing at proxies whose table has just lost the server.
         let leaving = self.leaving();
@@ -516,12 +505,6 @@
 
     fn send(&mut self, now: Moment, number: u32, changes: Vec<Change>, all: bool) {
         let (mut orders, mut back) = (0, 0);
-        let admitted = |level: &f64| match self.charter.admission {
-            Admission::Share => *level,
-            Admission::PerSecond => 1e6,
-            Admission::Ignored => 1.0,
-        };
-        let levels: Vec<f64> = self.levels.iter().map(admitted).collect();
         let Some(tbl) = self.tbls.get_mut(&number) else { return };
         for Change { id, weight, .. } in changes {
             // One that returns is let back in with its first line, not before: until then it may be cold.
@@ -535,7 +518,7 @@
             tbl.lines.insert(id, weight);
         }
         tbl.lines.retain(|_, weight| *weight > 0.0);
-        for (k, level) in levels.into_iter().enumerate().filter(|_| all) {
+        for (k, level) in self.levels.iter().copied().enumerate().filter(|_| all) {
             if tbl.levels.insert(k, level) != Some(level) {
                 self.host.level(number, 1 << k, level, RETRY);
                 orders += 1;
@@ -574,7 +557,7 @@
                 self.host.bind(proxy, number);
                 self.proxies.get_mut(&proxy).expect("just read").bound = true;
                 self.ledger.note(now, proxy, lines, head);
-            } else if !std::mem::replace(&mut self.heartbeat_set, true) {
+            } else if self.held.wakes.insert(HEARTBEAT) {
                 self.host.wake(HEARTBEAT_EVERY * (0.8 + 0.4 * self.chance.unit()), HEARTBEAT);
             }
         }
@@ -582,9 +565,7 @@
 
     /// The lines that can leave the module at once and still come within the grace.
     fn in_grace(&self) -> f64 {
-        let carried =
-            (self.charter.drain_grace - self.charter.way_most).as_secs() * self.charter.channel_rate;
-        carried.min(self.charter.most_waiting * MOST_LINES) * FOR_LEAVING
+        self.charter.carried_in_grace().min(self.charter.most_waiting * MOST_LINES) * FOR_LEAVING
     }
 
     /// How many lines a table may hold so that a part of the fleet can leave half as many proxies again.
@@ -648,8 +629,7 @@
         self.pulse.middle = hurts.get(hurts.len() / 2).map_or(0.0, |h| h.0);
         let mut held_back: f64 = self.ready().map(|(_, s)| s.weight * (1.0 - RUNGS[s.rung])).sum();
         let most = self.ready_weight() * MOST_HELD_BACK;
-        let jammed = self.pulse.middle > HURTING.0;
-        for (hurt, id) in hurts.iter().filter(|h| h.0 > par + STANDS_OUT && !jammed) {
+        for (hurt, id) in hurts.iter().filter(|h| h.0 > par + STANDS_OUT && self.pulse.middle <= HURTING.0) {
             let server = self.servers.get_mut(id).expect("a listed server");
             let down = if *hurt >= HOPELESS { server.rung + 3 } else { server.rung + 1 }.min(RUNGS.len() - 1);
             held_back += server.weight * (RUNGS[server.rung] - RUNGS[down]);
@@ -694,7 +674,8 @@
             let asked = (pulse.asked[k] / over).max(1e-9);
             let level = (left / asked).clamp(LEVEL_FLOOR, 1.0);
             left = (left - level * asked).max(0.0);
-            if (level - self.levels[k]).abs() > LEVEL_STEP || level >= 1.0 {
+            let obeyed = self.charter.admission == Admission::Share;
+            if obeyed && ((level - self.levels[k]).abs() > LEVEL_STEP || level >= 1.0) {
                 self.levels[k] = level;
             }
         }
@@ -728,8 +709,7 @@
                 continue;
             }
             let mut drawn = whole * self.chance.unit();
-            let mut lines = usable.iter();
-            let Some((id, _)) = lines.find(|(_, u)| (drawn -= u.0, drawn < 0.0).1) else { continue };
+            let Some((id, _)) = usable.iter().find(|(_, u)| (drawn -= u.0, drawn < 0.0).1) else { continue };
             if one && !slice.lines.is_empty() {
                 // Rule 2: writes stop, and those in hand or still sent on a lease end, before another owns.
                 let since = *slice.moving.get_or_insert(now);
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -34,7 +34,7 @@
 #[test]
 fn changes_that_can_wait_are_gathered() {
     let mut rules = running(charter(), &["a"], 1);
-    rules.gathered = at(2.0);
+    rules.held.gathered = at(2.0);
     rules.list_changed(at(1.5), &[listing("b", 0, Ready, None)]);
     assert_eq!(rules.host.count("line"), 0);
 }
@@ -42,7 +42,7 @@
 #[test]
 fn a_draining_server_leaves_at_once_whatever_the_gathering() {
     let mut rules = running(charter(), &["a", "b"], 1);
-    rules.gathered = at(2.0);
+    rules.held.gathered = at(2.0);
     rules.list_changed(at(1.1), &[listing("a", 0, Draining, None)]);
     assert_eq!(rules.host.said, ["line 0 a 0", "withdraw a true"]);
 }
@@ -106,7 +106,7 @@
 #[test]
 fn a_restart_behind_the_same_id_can_not_wait() {
     let mut rules = running(charter(), &["a", "b"], 1);
-    rules.gathered = at(2.0);
+    rules.held.gathered = at(2.0);
     rules.list_changed(at(1.1), &[listing("a", 0, Ready, Some(at(1.0)))]);
     assert!(rules.host.weight(0, "a").unwrap() < 0.3);
 }
@@ -454,3 +454,45 @@
     rules.list_changed(at(2.0), &[listing("a", 0, Draining, None)]);
     assert_eq!(rules.host.said, ["withdraw a true", "level 1 2 0.00 Never"]);
 }
+
+#[test]
+fn orders_that_were_lost_go_again_and_nothing_overtakes_them() {
+    let mut rules = running(charter(), &["a", "b"], 1);
+    rules.orders_lost(at(2.0), false);
+    rules.list_changed(at(2.0), &[listing("a", 0, Draining, None)]);
+    rules.woke(at(2.1), REPEAT);
+    assert_eq!(rules.host.said, ["wake 5 50000", "repeat"]);
+}
+
+#[test]
+fn what_was_held_behind_lost_orders_goes_once_they_are_taken() {
+    let mut rules = running(charter(), &["a", "b"], 1);
+    rules.orders_lost(at(2.0), false);
+    rules.list_changed(at(2.0), &[listing("a", 0, Draining, None)]);
+    rules.orders_taken(at(2.1));
+    assert_eq!(rules.host.said[1..], ["line 0 a 0", "withdraw a true"]);
+}
+
+#[test]
+fn orders_that_may_have_been_carried_out_count_twice() {
+    let mut rules = running(charter(), &["a", "b"], 1);
+    let waiting = rules.ledger.waiting(at(0.2));
+    rules.orders_lost(at(0.2), true);
+    assert_eq!(rules.ledger.waiting(at(0.2)), 2.0 * waiting);
+}
+
+#[test]
+fn a_declined_bind_is_ordered_again() {
+    let mut rules = running(charter(), &["a"], 1);
+    rules.bind_declined(at(2.0), 0);
+    rules.woke(at(2.2), LOOK);
+    assert_eq!(rules.host.count("bind 0 0"), 1);
+}
+
+#[test]
+fn a_declined_line_is_ordered_again() {
+    let mut rules = running(charter(), &["a", "b"], 1);
+    rules.line_declined(0, &"b".into());
+    rules.woke(at(2.0), LOOK);
+    assert_eq!(rules.host.weight(0, "b"), Some(2.0));
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,7 +3,7 @@
 use crate::histogram::Histogram;
 use crate::host::{Id, Standing};
 use crate::time::{Moment, Span};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Default)]
 pub struct Server {
@@ -96,4 +96,25 @@
     pub struggling: bool,
     pub budget: Option<f64>,
     pub shed: Moment,
+    /// The most listed weight that was ready lately.
+    pub peak: f64,
+}
+
+impl Pulse {
+    pub fn count(&mut self, tries: f64, answered: f64) {
+        self.tries += tries;
+        self.answered += answered;
+        self.served += answered;
+    }
+}
+
+/// What holds orders back.
+#[derive(Default)]
+pub struct Held {
+    /// When what can wait may go next.
+    pub gathered: Moment,
+    /// Wake-ups under way, by label.
+    pub wakes: BTreeSet<u64>,
+    /// The orders of a moment came to nothing, or nobody knows, and go again.
+    pub unanswered: bool,
 }
--- a/supervisor/src/desk.rs
+++ b/supervisor/src/desk.rs
@@ -12,10 +12,16 @@
 use std::rc::Rc;
 use tokio::sync::Notify;
 
-/// One order in the relay's form, and whom it concerns if it can't be used.
+/// One order in the relay's form, and what the rules have to know if it can't be used.
 pub struct Order {
     pub text: String,
-    pub proxy: Option<u32>,
+    pub about: About,
+}
+
+pub enum About {
+    Bind(u32),
+    Line(u32, Id),
+    Other,
 }
 
 pub struct Desk {
@@ -94,12 +100,12 @@
         self.wakes.pop().map(|wake| wake.0 .2)
     }
 
-    fn say(&mut self, checked: Result<(), String>, order: Value, proxy: Option<u32>) {
+    fn say(&mut self, checked: Result<(), String>, order: Value, about: About) {
         if let Err(fault) = checked {
             return warn!(self.log, "order against the relay's rules"; "why" => fault);
         }
         self.ordered += 1;
-        self.orders.push_back(Order { text: order.to_string(), proxy });
+        self.orders.push_back(Order { text: order.to_string(), about });
     }
 
     fn routes(&self, products: Products) -> Vec<&str> {
@@ -111,28 +117,28 @@
 impl Host for Desk {
     fn line(&mut self, tbl: u32, server: &Id, weight: f64) {
         let order = json!({"op": "put", "table": tbl, "endpoint": &**server, "w": weight});
-        self.say(self.checks.line(tbl, server, weight), order, None);
+        self.say(self.checks.line(tbl, server, weight), order, About::Line(tbl, server.clone()));
     }
 
     fn bind(&mut self, proxy: u32, tbl: u32) {
         let order = json!({"op": "attach", "node": proxy, "table": tbl});
-        self.say(self.checks.bind(proxy, tbl), order, Some(proxy));
+        self.say(self.checks.bind(proxy, tbl), order, About::Bind(proxy));
     }
 
     fn withdraw(&mut self, server: &Id, out: bool) {
         let order = json!({"op": if out { "eject" } else { "uneject" }, "endpoint": &**server});
-        self.say(self.checks.withdrawal(server), order, None);
+        self.say(self.checks.withdrawal(server), order, About::Other);
     }
 
     fn level(&mut self, tbl: u32, products: Products, admitted: f64, retry: Retry) {
         let (routes, policy) = (self.routes(products), retry as u8);
         let order =
             json!({"op": "gate", "table": tbl, "routes": routes, "admit": admitted, "policy": policy});
-        self.say(self.checks.level(tbl, admitted), order, None);
+        self.say(self.checks.level(tbl, admitted), order, About::Other);
     }
 
     fn mark(&mut self, number: u32) {
-        self.say(Ok(()), json!({"op": "fence", "nonce_out": number}), None);
+        self.say(Ok(()), json!({"op": "fence", "nonce_out": number}), About::Other);
     }
 
     fn repeat(&mut self) {
--- a/supervisor/src/list.rs
+++ b/supervisor/src/list.rs
@@ -52,7 +52,7 @@
     })
 }
 
-/// Follows the list for ever; `follow` is the rules' word to ask, first at the start and then after a failure.
+/// Follows the list for ever; `follow` is the rules' word to ask, at the start and after a failure.
 pub async fn follow(peer: Peer, names: Rc<Names>, follow: Rc<Notify>, ear: Ear, log: Logger) {
     let mut version = None;
     let mut lost = false;
--- a/supervisor/src/planner.rs
+++ b/supervisor/src/planner.rs
@@ -1,7 +1,7 @@
-//! The task that owns the rules and the clock. One round, top to bottom: wait for something, drain all that is
-//! ready, tell it to the rules with one moment, send what they ordered as one call, tell them what became of it.
+//! The task that owns the rules and the clock. One round, top to bottom: wait for something, drain all that
+//! is ready, tell it to the rules with one moment, send what they ordered as one call, tell them its fate.
 
-use crate::desk::Desk;
+use crate::desk::{About, Desk};
 use crate::orders::{Fate, Orders};
 use crate::papers::Papers;
 use otterwinch::host::Listing;
@@ -155,15 +155,22 @@
                 }
                 Fate::Declined(order) => {
                     warn!(self.log, "order declined by the relay"; "order" => &order.text);
-                    if let Some(proxy) = order.proxy {
-                        self.guarded(now, Box::new(move |rules, now| rules.bind_declined(now, proxy)));
+                    match order.about {
+                        About::Bind(proxy) => {
+                            self.guarded(now, Box::new(move |rules, now| rules.bind_declined(now, proxy)));
+                        }
+                        About::Line(tbl, id) => {
+                            self.guarded(now, Box::new(move |rules, _| rules.line_declined(tbl, &id)));
+                        }
+                        About::Other => {}
                     }
                     self.rules.host().again = self.lost;
                 }
                 Fate::Lost(failed) => {
                     self.lost_calls += 1;
                     if !std::mem::replace(&mut self.lost, true) {
-                        warn!(self.log, "orders lost"; "why" => %failed, "orders" => self.orders.in_hand.len());
+                        let orders = self.orders.in_hand.len();
+                        warn!(self.log, "orders lost"; "why" => %failed, "orders" => orders);
                     }
                     let unsure = failed.unsure();
                     self.guarded(now, Box::new(move |rules, now| rules.orders_lost(now, unsure)));
