--- a/supervisor/src/main.rs
+++ b/supervisor/src/main.rs
@@ -75,7 +75,7 @@
     let (mut planner, ear, page) = Planner::open(papers, orders, log.clone());
     let follow = planner.follow();
     let listener = TcpListener::bind(listen).await?;
-    info!(log, "started"; "version" => env!("CARGO_PKG_VERSION"), "listen" => %listen);
+    info!(log, "started"; "version" => env!("CARGO_PKG_VERSION"), "listen" => %listener.local_addr()?);
     let front = front::Front { names: names.clone(), ear: ear.clone(), page, log: log.clone() };
     spawn_local(front::serve(listener, front));
     {
--- a/supervisor/src/orders.rs
+++ b/supervisor/src/orders.rs
@@ -91,3 +91,18 @@
     text.push_str("]}");
     (text, count)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::desk::About;
+
+    #[test]
+    fn a_call_that_would_be_too_long_is_cut_between_orders() {
+        let order = || Order { text: format!("\"{}\"", "x".repeat(20_000)), about: About::Other };
+        let orders: VecDeque<Order> = (0..4).map(|_| order()).collect();
+        let (text, count) = body(&orders);
+        assert_eq!((count, text.len() <= MOST_BYTES), (2, true));
+        assert!(serde_json::from_str::<Value>(&text).is_ok());
+    }
+}
--- a/supervisor/src/papers.rs
+++ b/supervisor/src/papers.rs
@@ -59,76 +59,70 @@
         Papers::read(&value, env)
     }
 
-    fn read(value: &Value, env: impl Fn(&str) -> Option<String>) -> Result<Self, Vec<String>> {
+    pub fn read(value: &Value, env: impl Fn(&str) -> Option<String>) -> Result<Self, Vec<String>> {
         let f = Fields::named(value, "papers").map_err(|e| vec![e])?;
-        let mut faults = Vec::new();
-        let mut said = |name: &str, var: &str| {
-            let told = f.text(name).unwrap_or_else(|e| {
-                faults.push(e);
-                ""
-            });
-            if let Some(other) = env(var).filter(|other| other != told) {
-                faults.push(format!("papers: field '{name}' is '{told}' but {var} says '{other}'"));
+        let mut faults = Faults::default();
+        for (field, var) in [("name", "GW_NAME"), ("listen", "GW_LISTEN"), ("discovery", "GW_DISCOVERY")] {
+            if let (Ok(told), Some(other)) = (f.text(field), env(var)) {
+                faults.unless(told == other, || {
+                    format!("papers: field '{field}' is '{told}' but {var} says '{other}'")
+                });
             }
-            told.to_owned()
-        };
-        let (name, listen, list) =
-            (said("name", "GW_NAME"), said("listen", "GW_LISTEN"), said("discovery", "GW_DISCOVERY"));
-        let relay = f.value("relay").and_then(|v| Fields::named(v, "relay")?.text("address"));
-        let relay = relay.unwrap_or_else(|e| {
-            faults.push(e);
-            ""
-        });
-        let mut address = |field: &str, text: &str| {
-            text.parse().unwrap_or_else(|_| {
-                faults.push(format!("papers: field '{field}' is no address with a port: '{text}'"));
-                SocketAddr::from(([0, 0, 0, 0], 0))
-            })
-        };
-        let (listen, list, relay) =
-            (address("listen", &listen), address("discovery", &list), address("relay.address", relay));
-        let seed = f.text("seed").and_then(|text| {
+        }
+        let name = faults.none_in(f.text("name")).unwrap_or_default().to_owned();
+        let listen = faults.none_in(address("listen", f.text("listen")));
+        let list = faults.none_in(address("discovery", f.text("discovery")));
+        let relay = f.value("relay").and_then(|v| Fields::named(v, "papers: 'relay'")?.text("address"));
+        let relay = faults.none_in(address("relay.address", relay));
+        let seed = faults.none_in(f.text("seed").and_then(|text| {
             u64::from_str_radix(text, 16)
                 .map_err(|_| format!("papers: field 'seed' is not hexadecimal: '{text}'"))
-        });
-        let seed = seed.unwrap_or_else(|e| {
-            faults.push(e);
-            0
-        });
-        let settings = f.value("settings").cloned().unwrap_or_else(|e| {
-            faults.push(e);
-            Value::Null
-        });
+        }));
+        let settings = faults.none_in(f.value("settings")).cloned().unwrap_or_default();
         let figures = Figures::of(&settings);
         let names = Names {
             zones: figures.at("zones").rows().map(|zone| zone.word().to_owned()).collect(),
             products: figures.at("classes").rows().map(|row| row.at("name").word().to_owned()).collect(),
         };
-        for (list, empty) in [("zones", names.zones.is_empty()), ("classes", names.products.is_empty())] {
-            if empty {
-                faults.push(format!("papers: field 'settings.{list}' holds nothing"));
-            }
-        }
         // On sockets the list answers only when it is asked, whatever the settings say of it.
         let charter = Charter { list_on_request: true, ..charter(&figures) };
-        if charter.slices > 0 {
-            faults.push(
-                "papers: field 'settings.familyInfo.slices' is above 0: the relay has no slices".into(),
-            );
+        if !settings.is_null() {
+            let holds_nothing = |list| move || format!("papers: field 'settings.{list}' holds nothing");
+            faults.unless(!names.zones.is_empty(), holds_nothing("zones"));
+            faults.unless(!names.products.is_empty(), holds_nothing("classes"));
+            faults.unless(charter.slices == 0, || {
+                "papers: field 'settings.familyInfo.slices' is above 0: the relay has no slices".into()
+            });
         }
-        let known = match f.has("known").then(|| f.value("known")).transpose() {
-            Ok(Some(known)) => list::answer(known, &names).map(|a| a.listings),
-            Ok(None) => Ok(vec![]),
-            Err(e) => Err(e),
-        };
-        let known = known.unwrap_or_else(|e| {
-            faults.push(format!("papers: field 'known': {e}"));
-            vec![]
-        });
-        if !faults.is_empty() {
-            return Err(faults);
+        let known = f.value("known").and_then(|v| list::answer(v, &names));
+        let known = faults.none_in(known.map_err(|e| format!("papers: field 'known': {e}")));
+        match (listen, list, relay, seed, known) {
+            (Some(listen), Some(list), Some(relay), Some(seed), Some(known)) if faults.0.is_empty() => {
+                let (names, known) = (Rc::new(names), known.listings);
+                Ok(Papers { name, listen, list, relay, seed, names, charter, known, settings })
+            }
+            _ => Err(faults.0),
+        }
+    }
+}
+
+fn address(field: &str, text: Result<&str, String>) -> Result<SocketAddr, String> {
+    let text = text?;
+    text.parse().map_err(|_| format!("papers: field '{field}' is no address with a port: '{text}'"))
+}
+
+/// All that is wrong, not only the first: who mends the papers should need to look once.
+#[derive(Default)]
+struct Faults(Vec<String>);
+
+impl Faults {
+    fn none_in<T>(&mut self, read: Result<T, String>) -> Option<T> {
+        read.map_err(|fault| self.0.push(fault)).ok()
+    }
+
+    fn unless(&mut self, sound: bool, fault: impl FnOnce() -> String) {
+        if !sound {
+            self.0.push(fault());
         }
-        let names = Rc::new(names);
-        Ok(Papers { name, listen, list, relay, seed, names, charter, known, settings })
     }
 }
--- /dev/null
+++ b/supervisor/tests/common/mod.rs
@@ -0,0 +1,369 @@
+//! Stand-ins for the list and the relay, and the built program between them. Written from the published
+//! protocol; every wait is for something that happens, under one generous limit.
+
+use serde_json::{json, Value};
+use std::collections::VecDeque;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread::spawn;
+use std::time::{Duration, Instant};
+
+pub const LIMIT: Duration = Duration::from_secs(30);
+
+/// Reads one HTTP message: its first line and its body.
+fn message(from: &mut BufReader<TcpStream>) -> Option<(String, Vec<u8>)> {
+    let (mut first, mut length) = (String::new(), 0);
+    loop {
+        let mut line = String::new();
+        if from.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        let line = line.trim_end().to_owned();
+        if line.is_empty() {
+            break;
+        }
+        if let Some(n) = line.to_lowercase().strip_prefix("content-length:") {
+            length = n.trim().parse().ok()?;
+        }
+        first = if first.is_empty() { line } else { first };
+    }
+    let mut body = vec![0; length];
+    from.read_exact(&mut body).ok()?;
+    Some((first, body))
+}
+
+fn answer(to: &mut TcpStream, status: &str, body: &str) {
+    let _ = write!(to, "HTTP/1.1 {status}\r\ncontent-length: {}\r\n\r\n{body}", body.len());
+}
+
+/// Accepts for ever; each connection has a thread and lives while `serve` says so.
+fn stand_in(
+    mut serve: impl FnMut(&str, &[u8], &mut TcpStream) -> bool + Clone + Send + 'static,
+) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let mut serve = serve.clone();
+            spawn(move || {
+                let (mut from, mut to) = (BufReader::new(stream.try_clone().unwrap()), stream);
+                while let Some((first, body)) = message(&mut from) {
+                    if !serve(&first, &body, &mut to) {
+                        return;
+                    }
+                }
+            });
+        }
+        let _ = serve("", &[], &mut TcpStream::connect(address).unwrap());
+    });
+    address
+}
+
+/// What the relay does with a call.
+#[derive(Clone, Copy)]
+pub enum Does {
+    Takes,
+    /// Takes so many and stops at the next.
+    TakesOnly(usize),
+    /// Reads the call and closes.
+    Breaks,
+    /// Reads the call and says nothing.
+    IsSilent,
+    /// Answers what can't be read.
+    Mumbles,
+    Throttles,
+}
+
+#[derive(Clone)]
+pub struct Relay {
+    pub address: SocketAddr,
+    calls: Arc<Mutex<Receiver<Vec<Value>>>>,
+    plan: Arc<Mutex<VecDeque<Does>>>,
+    news: Arc<Mutex<(Vec<String>, Vec<TcpStream>)>>,
+}
+
+fn chunk(to: &mut TcpStream, text: &str) -> bool {
+    write!(to, "{:x}\r\n{text}\r\n", text.len()).is_ok()
+}
+
+impl Relay {
+    pub fn start() -> Relay {
+        let plan = Arc::new(Mutex::new(VecDeque::new()));
+        let news: Arc<Mutex<(Vec<String>, Vec<TcpStream>)>> = Arc::default();
+        let (told, calls): (Sender<Vec<Value>>, _) = channel();
+        let (plans, opens, silent) = (plan.clone(), news.clone(), Arc::new(Mutex::new(Vec::new())));
+        let address = stand_in(move |first, body, to| {
+            if first.starts_with("GET /v3/kv/stream") {
+                let mut news = opens.lock().unwrap();
+                let _ = write!(to, "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n");
+                news.0.iter().for_each(|line| _ = chunk(to, &format!("{line}\n")));
+                chunk(to, "{}\n");
+                news.1.push(to.try_clone().unwrap());
+                return false;
+            }
+            assert!(body.len() <= 60_000, "a call of {} bytes", body.len());
+            let value: Value = serde_json::from_slice(body).unwrap();
+            let orders = value["changes"].as_array().unwrap().clone();
+            let does = plans.lock().unwrap().pop_front().unwrap_or(Does::Takes);
+            let all = orders.len();
+            let _ = told.send(orders);
+            match does {
+                Does::Takes => answer(to, "200 OK", &json!({"taken": all}).to_string()),
+                Does::TakesOnly(n) => answer(to, "200 OK", &json!({"taken": n}).to_string()),
+                Does::Breaks => _ = to.shutdown(Shutdown::Both),
+                Does::IsSilent => silent.lock().unwrap().push(to.try_clone().unwrap()),
+                Does::Mumbles => answer(to, "200 OK", "{\"tak"),
+                Does::Throttles => answer(to, "429 Too Many Requests", r#"{"error":"throttled"}"#),
+            }
+            true
+        });
+        let life = news.clone();
+        spawn(move || loop {
+            std::thread::sleep(Duration::from_millis(400));
+            life.lock().unwrap().1.retain_mut(|to| chunk(to, "{}\n"));
+        });
+        Relay { address, calls: Arc::new(Mutex::new(calls)), plan, news }
+    }
+
+    pub fn will(&self, does: Does) {
+        self.plan.lock().unwrap().push_back(does);
+    }
+
+    pub fn joins(&self, proxy: u32) {
+        let line = json!({"type": "hello", "object":
+            {"node": proxy, "locality": "north", "w": 20.5, "cold": true}})
+        .to_string();
+        let mut news = self.news.lock().unwrap();
+        news.1.iter_mut().for_each(|to| _ = chunk(to, &format!("{line}\n")));
+        news.0.push(line);
+    }
+
+    /// Breaks the news off; on reopening it tells of nobody but the last who joined.
+    pub fn forgets_all_but_the_last(&self) {
+        let mut news = self.news.lock().unwrap();
+        let last = news.0.pop();
+        news.0 = last.into_iter().collect();
+        news.1.drain(..).for_each(|to| _ = to.shutdown(Shutdown::Both));
+    }
+
+    pub fn call(&self) -> Vec<Value> {
+        self.calls.lock().unwrap().recv_timeout(LIMIT).expect("a call to the relay")
+    }
+
+    /// The next order of that kind, in whatever call it comes.
+    pub fn order(&self, op: &str) -> Value {
+        self.call_with(op).into_iter().find(|order| order["op"] == op).unwrap()
+    }
+
+    pub fn call_with(&self, op: &str) -> Vec<Value> {
+        let from = Instant::now();
+        while from.elapsed() < LIMIT {
+            let call = self.call();
+            if call.iter().any(|order| order["op"] == op) {
+                return call;
+            }
+        }
+        panic!("no order {op}");
+    }
+}
+
+#[derive(Default)]
+struct Hosts {
+    version: u64,
+    standing: Vec<Value>,
+    changed: Vec<Value>,
+    silent: bool,
+}
+
+#[derive(Clone)]
+pub struct List {
+    pub address: SocketAddr,
+    hosts: Arc<(Mutex<Hosts>, Condvar)>,
+    calls: Arc<Mutex<Receiver<String>>>,
+}
+
+pub fn server(id: &str, health: &str) -> Value {
+    json!({"host": id, "dial": "127.0.0.1:9", "site": "north", "class": "m2", "block": 3,
+        "health": health, "share": 1.0, "born_ms": 0})
+}
+
+impl List {
+    pub fn start(ids: &[&str]) -> List {
+        let standing = ids.iter().map(|id| server(id, "active")).collect();
+        let hosts =
+            Arc::new((Mutex::new(Hosts { version: 1, standing, ..Hosts::default() }), Condvar::new()));
+        let (told, calls) = channel();
+        let shared = hosts.clone();
+        let address = stand_in(move |first, _, to| {
+            let _ = told.send(first.to_owned());
+            let (hosts, changed) = &*shared;
+            let mut hosts = hosts.lock().unwrap();
+            let since = first.split("since=").nth(1).and_then(|t| t.split('&').next()?.parse().ok());
+            let wait = first.split("timeout_ms=").nth(1).and_then(|t| t.split(' ').next()?.parse().ok());
+            let body = match since {
+                None => json!({"seq": hosts.version, "whole": true, "hosts": hosts.standing}),
+                Some(since) => {
+                    let most = Duration::from_millis(wait.unwrap_or(0));
+                    let stands = |h: &mut Hosts| h.silent || h.version <= since;
+                    hosts = changed.wait_timeout_while(hosts, most, stands).unwrap().0;
+                    let news = if hosts.version > since { hosts.changed.clone() } else { vec![] };
+                    json!({"seq": hosts.version, "whole": false, "hosts": news})
+                }
+            };
+            if !hosts.silent {
+                answer(to, "200 OK", &body.to_string());
+            }
+            true
+        });
+        List { address, hosts, calls: Arc::new(Mutex::new(calls)) }
+    }
+
+    pub fn changes(&self, entries: &[Value]) {
+        let mut hosts = self.hosts.0.lock().unwrap();
+        hosts.version += 1;
+        hosts.changed = entries.to_vec();
+        self.hosts.1.notify_all();
+    }
+
+    pub fn silent(&self, is: bool) {
+        self.hosts.0.lock().unwrap().silent = is;
+    }
+
+    /// The next so many calls have come.
+    pub fn called(&self, times: usize) {
+        let calls = self.calls.lock().unwrap();
+        (0..times).for_each(|_| _ = calls.recv_timeout(LIMIT).expect("a call to the list"));
+    }
+}
+
+pub fn papers(list: SocketAddr, relay: SocketAddr) -> Value {
+    json!({"name": "n1", "listen": "127.0.0.1:0", "discovery": list.to_string(), "seed": "8c1f30d27a5be964",
+        "relay": {"address": relay.to_string()},
+        "known": {"seq": 0, "whole": true, "hosts": []},
+        "settings": {
+            "zones": ["north", "south"],
+            "classes": [{"name": "quote", "promiseUs": 1_500_000, "importance": 1.0},
+                {"name": "hold", "promiseUs": 1_200_000, "importance": 3.0}],
+            "familyInfo": {"channelRate": 14000.0, "fixedCost": 10.0, "mostWaiting": 14000.0, "proxyCount": 8,
+                "initialSet": 12, "transitMaxUs": 300_000, "reportEveryUs": 1_000_000,
+                "throttleBy": "fraction"},
+            "guarantees": {"drainGraceUs": 1_500_000, "coldUs": 10_000_000},
+            "replicasOfMe": 1}})
+}
+
+/// A file of papers that goes when it is dropped.
+pub struct File(pub PathBuf);
+
+impl File {
+    pub fn with(text: &str) -> File {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let name = format!("otterwinch-{}-{}.json", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+        let path = std::env::temp_dir().join(name);
+        std::fs::write(&path, text).unwrap();
+        File(path)
+    }
+}
+
+impl Drop for File {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+pub fn program() -> Command {
+    let mut program = Command::new(env!("CARGO_BIN_EXE_otterwinch"));
+    ["GW_NAME", "GW_LISTEN", "GW_DISCOVERY", "GW_CONFIG"].iter().for_each(|var| _ = program.env_remove(var));
+    program
+}
+
+/// The built program, started; it ends when this is dropped.
+pub struct Supervisor {
+    pub child: Child,
+    pub address: SocketAddr,
+    log: Receiver<Value>,
+    _papers: File,
+}
+
+impl Supervisor {
+    pub fn start(list: &List, relay: &Relay) -> Supervisor {
+        let file = File::with(&papers(list.address, relay.address).to_string());
+        let mut program = program();
+        let mut child =
+            program.arg("serve").env("GW_CONFIG", &file.0).stderr(Stdio::piped()).spawn().unwrap();
+        let (told, log) = channel();
+        let lines = BufReader::new(child.stderr.take().unwrap()).lines();
+        spawn(move || {
+            for line in lines.map_while(Result::ok) {
+                let _ = told.send(serde_json::from_str(&line).unwrap_or(Value::String(line)));
+            }
+        });
+        let address = ([127, 0, 0, 1], 0).into();
+        let mut supervisor = Supervisor { child, address, log, _papers: file };
+        supervisor.address = supervisor.logged("started")["listen"].as_str().unwrap().parse().unwrap();
+        supervisor.logged("news found");
+        supervisor
+    }
+
+    /// The next line of the log with that message.
+    pub fn logged(&self, msg: &str) -> Value {
+        let from = Instant::now();
+        while from.elapsed() < LIMIT {
+            let line = self.log.recv_timeout(LIMIT).unwrap_or_else(|e| panic!("no '{msg}' in the log: {e}"));
+            if line["msg"] == msg {
+                return line;
+            }
+        }
+        panic!("no '{msg}' in the log");
+    }
+
+    pub fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.address).unwrap();
+        stream.set_read_timeout(Some(LIMIT)).unwrap();
+        stream
+    }
+
+    /// What an HTTP client gets for a path, head and body.
+    pub fn page(&self, path: &str) -> String {
+        let (mut stream, mut text) = (self.connect(), String::new());
+        write!(stream, "GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n").unwrap();
+        stream.read_to_string(&mut text).unwrap();
+        text
+    }
+
+    pub fn ends(&mut self) -> Option<i32> {
+        let from = Instant::now();
+        while from.elapsed() < LIMIT {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.code();
+            }
+            std::thread::yield_now();
+        }
+        panic!("the program does not end");
+    }
+}
+
+impl Drop for Supervisor {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+pub fn frame(text: &str) -> Vec<u8> {
+    let mut bytes = (text.len() as u32).to_be_bytes().to_vec();
+    bytes.extend_from_slice(text.as_bytes());
+    bytes
+}
+
+pub fn read_frame(from: &mut TcpStream) -> std::io::Result<String> {
+    let mut length = [0; 4];
+    from.read_exact(&mut length)?;
+    let mut body = vec![0; u32::from_be_bytes(length) as usize];
+    from.read_exact(&mut body)?;
+    Ok(String::from_utf8(body).unwrap())
+}
--- /dev/null
+++ b/supervisor/tests/sockets.rs
@@ -0,0 +1,238 @@
+//! The built program on loopback sockets, one thing that happens a test.
+
+mod common;
+
+use common::{frame, papers, program, read_frame, server, Does, File, List, Relay, Supervisor};
+use serde_json::{json, Value};
+use std::io::{Read, Write};
+
+fn started(ids: &[&str]) -> (List, Relay, Supervisor) {
+    let (list, relay) = (List::start(ids), Relay::start());
+    let supervisor = Supervisor::start(&list, &relay);
+    (list, relay, supervisor)
+}
+
+/// A supervisor whose proxy 7 is bound to a table of `a` and `b`.
+fn serving() -> (List, Relay, Supervisor) {
+    let (list, relay, supervisor) = started(&["a", "b"]);
+    relay.joins(7);
+    relay.order("attach");
+    (list, relay, supervisor)
+}
+
+#[test]
+fn a_proxy_that_joins_is_bound_to_a_table_that_is_laid() {
+    let (_list, relay, _supervisor) = started(&["a", "b"]);
+    relay.joins(7);
+    let lines = relay.call_with("put");
+    let ids: Vec<&Value> = lines.iter().filter(|o| o["op"] == "put").map(|o| &o["endpoint"]).collect();
+    assert_eq!(ids, ["a", "b"]);
+    let tbl = lines[0]["table"].clone();
+    assert_eq!(relay.order("attach"), json!({"op": "attach", "node": 7, "table": tbl}));
+}
+
+#[test]
+fn a_draining_server_is_taken_out_and_shut_out() {
+    let (list, relay, _supervisor) = serving();
+    list.changes(&[server("a", "leaving")]);
+    let call = relay.call_with("eject");
+    assert!(call.iter().any(|o| o["op"] == "put" && o["endpoint"] == "a" && o["w"] == 0.0), "{call:?}");
+    assert!(call.iter().any(|o| o["op"] == "eject" && o["endpoint"] == "a"), "{call:?}");
+}
+
+/// Drains `a` while the relay does this, and checks that the very same orders come again.
+fn comes_again_when_the_relay(does: Does) {
+    let (list, relay, supervisor) = serving();
+    relay.will(does);
+    list.changes(&[server("a", "leaving")]);
+    let lost = relay.call_with("eject");
+    assert_eq!(relay.call(), lost);
+    supervisor.logged("orders lost");
+    supervisor.logged("relay takes orders again");
+}
+
+#[test]
+fn orders_come_again_when_the_relay_breaks_the_call() {
+    comes_again_when_the_relay(Does::Breaks);
+}
+
+#[test]
+fn orders_come_again_when_the_relay_is_silent() {
+    comes_again_when_the_relay(Does::IsSilent);
+}
+
+#[test]
+fn orders_come_again_when_the_answer_is_unreadable() {
+    comes_again_when_the_relay(Does::Mumbles);
+}
+
+#[test]
+fn orders_come_again_when_the_relay_throttles() {
+    comes_again_when_the_relay(Does::Throttles);
+}
+
+#[test]
+fn after_an_order_that_cannot_be_used_the_rest_goes_and_the_bind_is_made_again() {
+    let (_list, relay, supervisor) = serving();
+    relay.will(Does::TakesOnly(0));
+    relay.joins(8);
+    relay.joins(9);
+    let call = relay.call_with("attach");
+    let declined = call[0].clone();
+    assert_eq!(supervisor.logged("order declined by the relay")["order"], declined.to_string());
+    if call.len() > 1 {
+        assert_eq!(relay.call(), call[1..]);
+    }
+    let from = std::time::Instant::now();
+    while !relay.call_with("attach").contains(&declined) {
+        assert!(from.elapsed() < common::LIMIT);
+    }
+}
+
+#[test]
+fn who_is_missing_when_the_news_is_reopened_has_left() {
+    let (_list, relay, supervisor) = serving();
+    relay.joins(8);
+    relay.order("attach");
+    relay.forgets_all_but_the_last();
+    supervisor.logged("news lost");
+    // Whoever is still there may have gone and come meanwhile: it is bound anew.
+    assert_eq!(relay.order("attach")["node"], 8);
+    let from = std::time::Instant::now();
+    while !supervisor.page("/state").contains(r#""proxies":1,"#) {
+        assert!(from.elapsed() < common::LIMIT);
+    }
+}
+
+#[test]
+fn a_probe_in_pieces_and_two_at_once_are_answered() {
+    let (_list, _relay, supervisor) = started(&["a"]);
+    let mut stream = supervisor.connect();
+    let probe = frame(r#"{"msg":"probe"}"#);
+    for byte in &probe[..7] {
+        stream.write_all(&[*byte]).unwrap();
+        stream.flush().unwrap();
+    }
+    stream.write_all(&[&probe[7..], &probe].concat()).unwrap();
+    for _ in 0..2 {
+        assert_eq!(read_frame(&mut stream).unwrap(), r#"{"msg":"alive"}"#);
+    }
+}
+
+#[test]
+fn a_frame_that_cannot_be_read_disturbs_nothing_else() {
+    let (_list, _relay, supervisor) = started(&["a"]);
+    let mut stream = supervisor.connect();
+    for odd in [
+        "{\"msg\":",
+        "[]",
+        r#"{"msg":"sing"}"#,
+        r#"{"msg":"outcomes","endpoint":"a","total":-4}"#,
+        r#"{"msg":"demand","node":1,"route":"unheard","total":4}"#,
+        r#"{"msg":"outcomes","locality":"north","endpoint":"nobody","total":4,"errors":4,"interval":1000.0}"#,
+    ] {
+        stream.write_all(&frame(odd)).unwrap();
+    }
+    stream.write_all(&frame(r#"{"msg":"probe"}"#)).unwrap();
+    assert_eq!(read_frame(&mut stream).unwrap(), r#"{"msg":"alive"}"#);
+    assert!(supervisor.logged("frame skipped")["why"].as_str().unwrap().starts_with("not a JSON value"));
+}
+
+#[test]
+fn a_frame_that_is_too_long_ends_its_connection_alone() {
+    let (_list, _relay, supervisor) = started(&["a"]);
+    let (mut bad, mut good) = (supervisor.connect(), supervisor.connect());
+    bad.write_all(&(1_048_577u32).to_be_bytes()).unwrap();
+    assert_eq!(bad.read(&mut [0]).unwrap_or(0), 0);
+    good.write_all(&frame(r#"{"msg":"probe"}"#)).unwrap();
+    assert_eq!(read_frame(&mut good).unwrap(), r#"{"msg":"alive"}"#);
+}
+
+#[test]
+fn reports_of_voided_tries_take_weight_from_a_server() {
+    let (_list, relay, supervisor) = started(&["a", "b", "c", "d"]);
+    relay.joins(7);
+    relay.order("attach");
+    let mut stream = supervisor.connect();
+    stream.write_all(&frame(r#"{"msg":"agent","locality":"north"}"#)).unwrap();
+    for (id, errors) in [("a", 40), ("b", 0), ("c", 0), ("d", 0)] {
+        let report = json!({"msg": "outcomes", "locality": "north", "endpoint": id, "total": 40,
+            "errors": errors, "rtt": 41.7, "interval": 1000.0, "metrics": {"util": 0.5}});
+        stream.write_all(&frame(&report.to_string())).unwrap();
+    }
+    let line = relay.order("put");
+    assert_eq!(line["endpoint"], "a");
+    assert!(line["w"].as_f64().unwrap() < 0.5, "{line}");
+}
+
+#[test]
+fn a_list_that_goes_silent_is_asked_again() {
+    let (list, relay, supervisor) = serving();
+    list.silent(true);
+    supervisor.logged("list lost");
+    list.silent(false);
+    list.changes(&[server("a", "leaving")]);
+    assert_eq!(relay.order("eject")["endpoint"], "a");
+}
+
+#[test]
+fn the_list_is_watched_call_after_call() {
+    let (list, _relay, _supervisor) = started(&["a"]);
+    list.called(3);
+}
+
+#[test]
+fn http_at_the_same_address_gets_the_page() {
+    let (_list, _relay, supervisor) = started(&["a"]);
+    assert!(supervisor.page("/healthz").ends_with("\r\n\r\nalive\n"));
+    assert!(supervisor.page("/other").starts_with("HTTP/1.1 404"));
+}
+
+#[test]
+fn sigterm_ends_the_program_with_code_0() {
+    let (_list, _relay, mut supervisor) = serving();
+    let id = supervisor.child.id().to_string();
+    std::process::Command::new("kill").args(["-TERM", &id]).status().unwrap();
+    assert_eq!(supervisor.ends(), Some(0));
+}
+
+fn check(text: &str) -> (Option<i32>, String) {
+    let file = File::with(text);
+    let out = program().arg("check").arg(&file.0).output().unwrap();
+    (out.status.code(), String::from_utf8(out.stderr).unwrap())
+}
+
+fn sound_papers() -> Value {
+    papers(([127, 0, 0, 1], 1).into(), ([127, 0, 0, 1], 2).into())
+}
+
+#[test]
+fn sound_papers_pass_the_check() {
+    assert_eq!(check(&sound_papers().to_string()), (Some(0), String::new()));
+}
+
+#[test]
+fn every_fault_in_the_papers_is_named() {
+    let mut papers = sound_papers();
+    papers["relay"] = json!({});
+    papers["seed"] = "xyz".into();
+    papers["settings"]["classes"] = json!([]);
+    let (code, said) = check(&papers.to_string());
+    assert_eq!((code, said.lines().count()), (Some(2), 3), "{said}");
+    ["'address'", "'seed'", "'settings.classes'"].iter().for_each(|f| assert!(said.contains(f), "{said}"));
+}
+
+#[test]
+fn papers_that_contradict_the_environment_are_refused() {
+    let file = File::with(&sound_papers().to_string());
+    let out = program().arg("serve").env("GW_CONFIG", &file.0).env("GW_NAME", "n9").output().unwrap();
+    let said = String::from_utf8(out.stderr).unwrap();
+    assert_eq!((out.status.code(), said.contains("'name' is 'n1' but GW_NAME says 'n9'")), (Some(2), true));
+}
+
+#[test]
+fn missing_and_unreadable_papers_are_one_plain_line() {
+    let out = program().arg("serve").output().unwrap();
+    assert_eq!((out.status.code(), out.stderr), (Some(2), b"otterwinch: GW_CONFIG names no file\n".to_vec()));
+    assert_eq!(check("{\"name\":").1.lines().count(), 1);
+}
