A repeated call carries a mark of its own, so that lost answers don't leave the queue full

Also: the log's last lines are written for 200 ms at the end at most, SIGINT ends the program as SIGTERM does.

--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -23,8 +23,8 @@
 /// assert_eq!(ledger.waiting(now), 8.0);
 /// assert_eq!(ledger.waiting(now + Span::secs(1.0)), 6.0);
 /// assert_eq!(ledger.messages(now, 1, Span::secs(1.0)), (1, Some(now)));
-/// assert_eq!(ledger.again(now + Span::secs(1.0)), 8.0);
-/// assert_eq!(ledger.waiting(now + Span::secs(1.0)), 14.0);
+/// assert_eq!(ledger.again(now + Span::secs(1.0)), (8.0, Some(2)));
+/// assert_eq!(ledger.waiting(now + Span::secs(1.0)), 15.0);
 /// ```
 #[derive(Debug, Default)]
 pub struct Ledger {
@@ -68,13 +68,12 @@
         (self.waiting, self.ordered) = ((self.waiting(now) + lines, now), self.ordered + lines);
     }
 
-    /// The latest moment's messages once more, with their number: they may leave twice. Tells their lines.
-    pub fn again(&mut self, now: Moment) -> f64 {
-        let Some(last) = self.replies.back() else { return 0.0 };
-        let (number, lines) = (last.number, last.lines.clone());
+    /// The latest moment's messages once more, as ones of this moment: they may leave twice. Tells lines
+    /// and number.
+    pub fn again(&mut self, now: Moment) -> (f64, Option<u32>) {
+        let lines = self.replies.back().map(|reply| reply.lines.clone()).unwrap_or_default();
         lines.iter().for_each(|(proxy, lines)| self.note(now, *proxy, *lines, 0.0));
-        self.replies.iter_mut().filter(|reply| reply.at == now).for_each(|reply| reply.number = number);
-        lines.values().sum()
+        (lines.values().sum(), self.mark(now))
     }
 
     /// A number for this moment's messages, each a line longer for it; nothing where there are none.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -72,7 +72,6 @@
 /// Outcomes by band: answered within 0.4, 0.6, 1 and more of the SLA time, voided; how much each hurts.
 const BANDS: [f64; 3] = [0.4, 0.6, 1.0];
 const HURT: [f64; 5] = [0.0, 0.0, 0.3, 1.0, 1.0];
-const VOIDED: usize = 4;
 /// What a troubled server keeps of its weight, and how far above the fleet's hurt it must stand.
 const RUNGS: [f64; 6] = [1.0, 0.75, 0.55, 0.35, 0.15, 0.04];
 const ENOUGH: f64 = 6.0;
@@ -114,7 +113,6 @@
             host.follow_list();
         }
         host.wake(GATHER, TURN);
-        let products = charter.products.len();
         Rules {
             host,
             chance: Chance::new(seed),
@@ -123,8 +121,11 @@
             proxies: BTreeMap::new(),
             usual: BTreeMap::new(),
             slices: BTreeMap::new(),
-            levels: vec![if charter.admission == Admission::PerSecond { 1e6 } else { 1.0 }; products],
-            pulse: Pulse { asked: vec![0.0; products], ..Pulse::default() },
+            levels: vec![
+                if charter.admission == Admission::PerSecond { 1e6 } else { 1.0 };
+                charter.products.len()
+            ],
+            pulse: Pulse { asked: vec![0.0; charter.products.len()], ..Pulse::default() },
             ledger: Ledger::new(charter.channel_rate * PACE_TRUSTED),
             held: Held { gathered: now, ..Held::default() },
             charter,
@@ -176,8 +177,7 @@
         // Where crossing zones costs or is barred, each zone's proxies have a table of their own.
         let zoned = self.charter.crossing_costs || self.charter.products.iter().any(|p| p.own_zone);
         let (tbl, home) = if zoned { (1 + zone, Some(zone)) } else { (0, None) };
-        let fresh = fresh && !known;
-        self.proxies.insert(proxy, Proxy { rate, joined: now, fresh, tbl, bound: false });
+        self.proxies.insert(proxy, Proxy { rate, joined: now, fresh: fresh && !known, tbl, bound: false });
         self.tbls.entry(tbl).or_insert(Tbl { home, afar: 1.0, ..Tbl::default() });
         // Rule 3: until it is bound it holds tables that are not ours, with servers that may have left.
         self.servers.values_mut().for_each(|s| s.told = false);
@@ -204,7 +204,7 @@
         // Reports come late, and tries that end now began earlier: they tell of the weight before the move.
         if server.rung == 0 || now - server.judged >= REPORT_LAG + over {
             let sla = self.charter.products.iter().map(|p| p.sla).min().unwrap_or_default();
-            server.tally.add(VOIDED, voided);
+            server.tally.add(HURT.len() - 1, voided);
             server.tally.add(BANDS.iter().filter(|part| took >= sla * **part).count(), answered);
         }
     }
@@ -366,8 +366,10 @@
     /// been taken nothing else goes: what piled up behind them would come in one burst.
     pub fn orders_lost(&mut self, now: Moment, unsure: bool) {
         self.held.unanswered = true;
-        // Rule 5: if they were carried out after all, their lines wait twice.
-        let lines = if unsure { self.ledger.again(now) } else { 0.0 };
+        // Rule 5: if they were carried out after all, their lines wait twice, and after many lost answers the
+        // queue would seem full. A mark of the repeat's own tells when it has come.
+        let (lines, number) = if unsure { self.ledger.again(now) } else { (0.0, None) };
+        number.into_iter().for_each(|number| self.host.mark(number));
         self.host.wake(LOOK_AGAIN + Span::secs(lines / self.charter.channel_rate.max(1.0)), REPEAT);
     }
 
@@ -390,16 +392,14 @@
 
     /// All that a moment orders. Where the queue is no longer short, the proxies are asked to tell what came.
     fn turn(&mut self, now: Moment) {
-        if self.held.unanswered {
-            return;
-        }
-        if self.charter.slices > 0 {
-            return self.publish_slices(now);
+        match self.charter.slices {
+            _ if self.held.unanswered => return,
+            0 => {}
+            _ => return self.publish_slices(now),
         }
         // Standing tables are thinned by all that leaves: before one is bare its proxy must be bound.
         let lost = self.servers.values().filter(|s| !s.ready()).count() as f64;
-        let unbound = self.proxies.values().any(|p| !p.bound);
-        let thin = unbound && lost > self.servers.len() as f64 * THIN;
+        let thin = lost > self.servers.len() as f64 * THIN && self.proxies.values().any(|p| !p.bound);
         // Else binds can wait longest: each takes what a line to all would.
         let late = self.publish(now, now >= self.held.gathered && !thin);
         if late {
--- a/supervisor/src/desk.rs
+++ b/supervisor/src/desk.rs
@@ -21,6 +21,7 @@
 pub enum About {
     Bind(u32),
     Line(u32, Id),
+    Mark,
     Other,
 }
 
@@ -138,7 +139,7 @@
     }
 
     fn mark(&mut self, number: u32) {
-        self.say(Ok(()), json!({"op": "fence", "nonce_out": number}), About::Other);
+        self.say(Ok(()), json!({"op": "fence", "nonce_out": number}), About::Mark);
     }
 
     fn repeat(&mut self) {
--- a/supervisor/src/log.rs
+++ b/supervisor/src/log.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 const QUEUE: usize = 512;
+const FLUSHED_WITHIN: Duration = Duration::from_millis(200);
 const AT_MOST_EVERY: Duration = Duration::from_secs(5);
 
 pub fn to_stderr(name: &str) -> (Logger, slog_async::AsyncGuard) {
@@ -16,6 +17,16 @@
     (Logger::root(drain.ignore_res(), o!("supervisor" => name.to_owned())), guard)
 }
 
+/// Writes what is still queued, for a moment: a reader who stands still must not keep the process alive.
+pub fn flush(guard: slog_async::AsyncGuard) {
+    let (done, written) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        drop(guard);
+        let _ = done.send(());
+    });
+    let _ = written.recv_timeout(FLUSHED_WITHIN);
+}
+
 /// For what may come once a message: tells when to log it, and how many there were since the last time.
 #[derive(Default)]
 pub struct Sparing {
--- a/supervisor/src/main.rs
+++ b/supervisor/src/main.rs
@@ -64,12 +64,14 @@
             ExitCode::FAILURE
         }
     };
-    drop((log, guard));
+    drop(log);
+    log::flush(guard);
     code
 }
 
 async fn serve(papers: Papers, log: Logger) -> std::io::Result<()> {
-    let mut told_to_end = signal(SignalKind::terminate())?;
+    let (mut told_to_end, mut interrupted) =
+        (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
     let (listen, names, list, relay) = (papers.listen, papers.names.clone(), papers.list, papers.relay);
     let orders = orders::Orders::to(Peer::at(relay));
     let (mut planner, ear, page) = Planner::open(papers, orders, log.clone());
@@ -93,6 +95,7 @@
     tokio::select! {
         () = planner.run() => {}
         _ = told_to_end.recv() => info!(log, "told to end"),
+        _ = interrupted.recv() => info!(log, "interrupted"),
     }
     Ok(())
 }
--- a/supervisor/src/orders.rs
+++ b/supervisor/src/orders.rs
@@ -2,7 +2,7 @@
 //! the rules, and they say whether and when it goes again.
 
 use crate::client::Peer;
-use crate::desk::Order;
+use crate::desk::{About, Order};
 use crate::errors::{Came, Failed};
 use hyper::body::Bytes;
 use hyper::Method;
@@ -33,6 +33,15 @@
         Orders { peer, in_hand: VecDeque::new(), calls: 0 }
     }
 
+    /// Puts orders behind those in hand. A mark among them stands for the marks of the call that was lost, so
+    /// that its answer tells which of the two came.
+    pub fn take(&mut self, fresh: VecDeque<Order>) {
+        if fresh.iter().any(|order| matches!(order.about, About::Mark)) {
+            self.in_hand.retain(|order| !matches!(order.about, About::Mark));
+        }
+        self.in_hand.extend(fresh);
+    }
+
     /// Sends what is in hand, in calls that are not too long, until all is taken or something stops it.
     pub async fn deliver(&mut self) -> Fate {
         while !self.in_hand.is_empty() {
@@ -95,7 +104,6 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::desk::About;
 
     #[test]
     fn a_call_that_would_be_too_long_is_cut_between_orders() {
--- a/supervisor/src/planner.rs
+++ b/supervisor/src/planner.rs
@@ -139,7 +139,7 @@
                 return;
             }
             let fresh = std::mem::take(&mut self.rules.host().orders);
-            self.orders.in_hand.extend(fresh);
+            self.orders.take(fresh);
             if self.orders.in_hand.is_empty() && !self.lost {
                 return;
             }
@@ -162,7 +162,7 @@
                         About::Line(tbl, id) => {
                             self.guarded(now, Box::new(move |rules, _| rules.line_declined(tbl, &id)));
                         }
-                        About::Other => {}
+                        About::Mark | About::Other => {}
                     }
                     self.rules.host().again = self.lost;
                 }
