--- /dev/null
+++ b/Makefile
@@ -0,0 +1,19 @@
+# What a contributor needs; CI runs .ci/run, which checks the same.
+.PHONY: build test lint run check
+
+build:
+	cargo build --release
+
+test:
+	cargo test --workspace --locked
+
+lint:
+	cargo fmt --all --check
+	cargo clippy --workspace --all-targets --locked -- -D warnings
+
+# PAPERS is the file that the supervisor reads at its start: make run PAPERS=papers.json
+run: build
+	GW_CONFIG=$(PAPERS) target/release/otterwinch serve
+
+check: build
+	target/release/otterwinch check $(PAPERS)
--- a/supervisor/src/front.rs
+++ b/supervisor/src/front.rs
@@ -14,6 +14,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
 use slog::{info, o, warn, Logger};
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,10 +23,8 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
-/// Far under the descriptors that a supervisor may hold.
-const MOST_CONNECTIONS: usize = 512;
 /// Strangers connect and say nothing.
-const FIRST_BYTE_WITHIN: Duration = Duration::from_secs(20);
+const FIRST_BYTE_WITHIN: Duration = Duration::from_secs(10);
 const HEAD_WITHIN: Duration = Duration::from_secs(5);
 const PAGE_WITHIN: Duration = Duration::from_secs(30);
 
@@ -44,9 +43,11 @@
     Router::new().route("/healthz", get(|| async { "alive\n" })).route("/state", get(state)).with_state(page)
 }
 
-pub async fn serve(listener: TcpListener, front: Front) {
-    let places = Arc::new(Semaphore::new(MOST_CONNECTIONS));
+/// Accepts for ever, and holds so many connections at most.
+pub async fn serve(listener: TcpListener, front: Front, most: usize) {
+    let places = Arc::new(Semaphore::new(most));
     let (router, mut full) = (router(front.page.clone()), Sparing::default());
+    let ended = Rc::new(RefCell::new(Sparing::default()));
     loop {
         let (stream, from) = match listener.accept().await {
             Ok(taken) => taken,
@@ -63,13 +64,17 @@
             }
             continue;
         };
-        let (front, router) = (front.clone(), router.clone());
+        let (front, router, ended) = (front.clone(), router.clone(), ended.clone());
         spawn_local(async move {
             let log = front.log.new(o!("from" => from.to_string()));
             match one(stream, &front, router, &log).await {
                 Ok(false) => {}
                 Ok(true) => info!(log, "collector left"),
-                Err(failed) => info!(log, "connection ended"; "why" => %failed),
+                Err(failed) => {
+                    if let Some(times) = ended.borrow_mut().due() {
+                        info!(log, "connection ended"; "why" => %failed, "times" => times);
+                    }
+                }
             }
             drop(place);
         });
--- a/supervisor/src/main.rs
+++ b/supervisor/src/main.rs
@@ -73,16 +73,19 @@
     let (mut told_to_end, mut interrupted) =
         (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
     let (listen, names, list, relay) = (papers.listen, papers.names.clone(), papers.list, papers.relay);
+    let most = papers.connections;
     let orders = orders::Orders::to(Peer::at(relay));
     let (mut planner, ear, page) = Planner::open(papers, orders, log.clone());
     let follow = planner.follow();
     let listener = TcpListener::bind(listen).await?;
     info!(log, "started"; "version" => env!("CARGO_PKG_VERSION"), "listen" => %listener.local_addr()?);
     let front = front::Front { names: names.clone(), ear: ear.clone(), page, log: log.clone() };
-    spawn_local(front::serve(listener, front));
+    spawn_local(front::serve(listener, front, most));
     {
         let (names, ear, log) = (names.clone(), ear.clone(), log.clone());
         kept_up("list", log.clone(), move || {
+            // A task started anew asks at once: the rules do not know that the old one broke.
+            follow.notify_one();
             list::follow(Peer::at(list), names.clone(), follow.clone(), ear.clone(), log.clone())
         });
     }
--- a/supervisor/src/orders.rs
+++ b/supervisor/src/orders.rs
@@ -67,16 +67,14 @@
         let path = "/v3/kv/batches";
         let (status, answer) = self.peer.ask(Method::POST, path, body, ANSWER_WITHIN, MOST_ANSWER).await?;
         let value: Result<Value, _> = serde_json::from_slice(&answer);
-        let taken = value.as_ref().ok().and_then(|v| v.get("taken")?.as_u64()).map(|n| n as usize);
+        let taken = value.ok().and_then(|v| v.get("taken")?.as_u64()).map(|n| n as usize);
         match taken.filter(|taken| *taken <= count) {
             Some(taken) if status.is_success() => Ok(taken),
             _ => {
-                let came = if status.is_success() || status.is_server_error() && value.is_err() {
-                    Came::Answered
-                } else {
-                    Came::TurnedAway
-                };
                 let text: String = String::from_utf8_lossy(&answer).chars().take(120).collect();
+                // Only a plain no tells that nothing was carried out; an inner error of the relay's does not.
+                let no = !status.is_success() && (status.is_client_error() || text.contains("throttled"));
+                let came = if no { Came::TurnedAway } else { Came::Answered };
                 Err(Failed::new(came, format!("status {status}: {text}")))
             }
         }
--- a/supervisor/src/papers.rs
+++ b/supervisor/src/papers.rs
@@ -29,6 +29,9 @@
     names.iter().position(|known| known == name).map(|k| k as u32)
 }
 
+/// Connections at our address, whatever the papers allow.
+const MOST_CONNECTIONS: u64 = 512;
+
 #[derive(Clone)]
 pub struct Papers {
     pub name: String,
@@ -39,6 +42,8 @@
     pub names: Rc<Names>,
     pub charter: Charter,
     pub known: Vec<Listing>,
+    /// How many connections our address may hold: half of all sockets, so that our own ways out have theirs.
+    pub connections: usize,
     settings: Value,
 }
 
@@ -96,10 +101,17 @@
         }
         let known = f.value("known").and_then(|v| list::answer(v, &names));
         let known = faults.none_in(known.map_err(|e| format!("papers: field 'known': {e}")));
-        match (listen, list, relay, seed, known) {
-            (Some(listen), Some(list), Some(relay), Some(seed), Some(known)) if faults.0.is_empty() => {
+        let sockets = match f.value("limits") {
+            Ok(limits) => Fields::named(limits, "papers: 'limits'").and_then(|f| f.whole("sockets")),
+            Err(_) => Ok(2 * MOST_CONNECTIONS),
+        };
+        let connections = faults.none_in(sockets).map(|n| (n / 2).clamp(1, MOST_CONNECTIONS) as usize);
+        match (listen, list, relay, seed, known, connections) {
+            (Some(listen), Some(list), Some(relay), Some(seed), Some(known), Some(connections))
+                if faults.0.is_empty() =>
+            {
                 let (names, known) = (Rc::new(names), known.listings);
-                Ok(Papers { name, listen, list, relay, seed, names, charter, known, settings })
+                Ok(Papers { name, listen, list, relay, seed, names, charter, known, connections, settings })
             }
             _ => Err(faults.0),
         }
