--- a/hostkit/src/checks.rs
+++ b/hostkit/src/checks.rs
@@ -5,6 +5,16 @@
 use std::collections::BTreeSet;
 
 /// What an instance may name: servers it was told of, proxies that are joined, slices in its charge.
+///
+/// ```
+/// use otterwinch_hostkit::Checks;
+/// let (mut checks, id) = (Checks::default(), "a".into());
+/// assert!(checks.line(0, &id, 1.0).is_err());
+/// checks.learn([&id].into_iter());
+/// assert!(checks.line(0, &id, 1.0).is_ok());
+/// assert!(checks.line(0, &id, f64::NAN).is_err());
+/// assert!(checks.bind(4, 0).is_err());
+/// ```
 #[derive(Default)]
 pub struct Checks {
     pub slices: bool,
--- a/hostkit/src/fields.rs
+++ b/hostkit/src/fields.rs
@@ -8,6 +8,15 @@
 const GREATEST: f64 = 1e12;
 
 /// One message: its kind and its fields.
+///
+/// ```
+/// use otterwinch_hostkit::Fields;
+/// let value = serde_json::json!({"kind": "HEARD", "bad": -1, "tries": 1e300, "odd": []});
+/// let f = Fields::of(&value, "kind").unwrap();
+/// assert_eq!(f.count("absent"), Ok(0.0));
+/// assert_eq!(f.count("bad").unwrap_err(), "HEARD: field 'bad' is not a number of 0 or more: -1");
+/// assert!(f.count("tries").is_err());
+/// ```
 #[derive(Clone, Copy)]
 pub struct Fields<'a> {
     pub kind: &'a str,
--- a/supervisor/tests/common/mod.rs
+++ b/supervisor/tests/common/mod.rs
@@ -41,6 +41,13 @@
     let _ = write!(to, "HTTP/1.1 {status}\r\ncontent-length: {}\r\n\r\n{body}", body.len());
 }
 
+/// The same, a few bytes at a time.
+fn answer_in_pieces(to: &mut TcpStream, body: &str) {
+    let _ = to.set_nodelay(true);
+    let whole = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len());
+    whole.as_bytes().chunks(9).for_each(|piece| _ = to.write_all(piece).and_then(|()| to.flush()));
+}
+
 /// Accepts for ever; each connection has a thread and lives while `serve` says so.
 fn stand_in(
     mut serve: impl FnMut(&str, &[u8], &mut TcpStream) -> bool + Clone + Send + 'static,
@@ -68,6 +75,7 @@
 #[derive(Clone, Copy)]
 pub enum Does {
     Takes,
+    TakesInPieces,
     /// Takes so many and stops at the next.
     TakesOnly(usize),
     /// Reads the call and closes.
@@ -114,6 +122,7 @@
             let _ = told.send(orders);
             match does {
                 Does::Takes => answer(to, "200 OK", &json!({"taken": all}).to_string()),
+                Does::TakesInPieces => answer_in_pieces(to, &json!({"taken": all}).to_string()),
                 Does::TakesOnly(n) => answer(to, "200 OK", &json!({"taken": n}).to_string()),
                 Does::Breaks => _ = to.shutdown(Shutdown::Both),
                 Does::IsSilent => silent.lock().unwrap().push(to.try_clone().unwrap()),
@@ -216,7 +225,7 @@
                 }
             };
             if !hosts.silent {
-                answer(to, "200 OK", &body.to_string());
+                answer_in_pieces(to, &body.to_string());
             }
             true
         });
--- a/supervisor/tests/sockets.rs
+++ b/supervisor/tests/sockets.rs
@@ -74,6 +74,16 @@
     comes_again_when_the_relay(Does::Throttles);
 }
 
+#[test]
+fn an_answer_in_pieces_is_an_answer() {
+    let (list, relay, _supervisor) = serving();
+    relay.will(Does::TakesInPieces);
+    list.changes(&[server("a", "leaving")]);
+    let taken = relay.call_with("eject");
+    list.changes(&[server("b", "leaving"), server("c", "active")]);
+    assert_ne!(relay.call(), taken);
+}
+
 #[test]
 fn after_an_order_that_cannot_be_used_the_rest_goes_and_the_bind_is_made_again() {
     let (_list, relay, supervisor) = serving();
@@ -141,6 +151,16 @@
     assert!(supervisor.logged("frame skipped")["why"].as_str().unwrap().starts_with("not a JSON value"));
 }
 
+#[test]
+fn a_peer_that_goes_half_way_through_a_frame_disturbs_nothing_else() {
+    let (_list, _relay, supervisor) = started(&["a"]);
+    supervisor.connect().write_all(&frame(r#"{"msg":"probe"}"#)[..9]).unwrap();
+    supervisor.logged("connection ended");
+    let mut good = supervisor.connect();
+    good.write_all(&frame(r#"{"msg":"probe"}"#)).unwrap();
+    assert_eq!(read_frame(&mut good).unwrap(), r#"{"msg":"alive"}"#);
+}
+
 #[test]
 fn a_frame_that_is_too_long_ends_its_connection_alone() {
     let (_list, _relay, supervisor) = started(&["a"]);
