--- a/supervisor/src/client.rs
+++ b/supervisor/src/client.rs
@@ -2,6 +2,7 @@
 //! anything twice by itself: only who asked can know whether twice is once too often.
 
 use crate::errors::{chain, Came, Failed};
+use crate::limits::within;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::{Method, Request, Response, StatusCode};
@@ -9,7 +10,6 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::time::timeout;
 
 const CONNECT_WITHIN: Duration = Duration::from_millis(250);
 /// Peers close what stands idle; one kept for less can hardly be dead when it is used.
@@ -40,7 +40,7 @@
         method: Method,
         path: &str,
         body: Bytes,
-        within: Duration,
+        limit: Duration,
     ) -> Result<Response<Incoming>, Failed> {
         let message = Request::builder()
             .method(method)
@@ -48,11 +48,11 @@
             .header("content-type", "application/json")
             .body(Full::new(body))
             .map_err(|e| Failed::new(Came::NotConnected, e))?;
-        match timeout(within, self.client.request(message)).await {
-            Err(_) => Err(Failed::new(Came::Sent, format!("silent for {} ms", within.as_millis()))),
-            Ok(Err(e)) if e.is_connect() => Err(Failed::new(Came::NotConnected, chain(&e))),
-            Ok(Err(e)) => Err(Failed::new(Came::Sent, chain(&e))),
-            Ok(Ok(answer)) => Ok(answer),
+        match within(limit, self.client.request(message)).await {
+            None => Err(Failed::new(Came::Sent, format!("silent for {} ms", limit.as_millis()))),
+            Some(Err(e)) if e.is_connect() => Err(Failed::new(Came::NotConnected, chain(&e))),
+            Some(Err(e)) => Err(Failed::new(Came::Sent, chain(&e))),
+            Some(Ok(answer)) => Ok(answer),
         }
     }
 
@@ -62,16 +62,16 @@
         method: Method,
         path: &str,
         body: Bytes,
-        within: Duration,
+        limit: Duration,
         most: usize,
     ) -> Result<(StatusCode, Bytes), Failed> {
         let whole = async {
-            let answer = self.send(method, path, body, within).await?;
+            let answer = self.send(method, path, body, limit).await?;
             let status = answer.status();
             let body = Limited::new(answer.into_body(), most).collect().await;
             Ok((status, body.map_err(|e| Failed::new(Came::Answered, chain(&*e)))?.to_bytes()))
         };
-        let slow = |_| Failed::new(Came::Answered, format!("not whole after {} ms", within.as_millis()));
-        timeout(within, whole).await.unwrap_or_else(|e| Err(slow(e)))
+        let slow = || Failed::new(Came::Answered, format!("not whole after {} ms", limit.as_millis()));
+        within(limit, whole).await.unwrap_or_else(|| Err(slow()))
     }
 }
--- a/supervisor/src/collectors.rs
+++ b/supervisor/src/collectors.rs
@@ -1,6 +1,7 @@
 //! Collectors, and whoever else speaks in frames at our address: a four-byte length, then one JSON object.
 
 use crate::errors::{chain, Came, Failed};
+use crate::limits::within;
 use crate::log::Sparing;
 use crate::papers::Names;
 use crate::planner::Ear;
@@ -12,7 +13,6 @@
 use slog::{info, warn, Logger};
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 const LONGEST_FRAME: usize = 1 << 20;
@@ -25,8 +25,8 @@
     let mut frames = Framed::new(stream, codec);
     let mut odd = Sparing::default();
     loop {
-        let frame = timeout(SILENT_FOR, frames.next()).await;
-        let frame = match frame.map_err(|_| Failed::new(Came::Sent, "silent"))? {
+        let frame = within(SILENT_FOR, frames.next()).await;
+        let frame = match frame.ok_or_else(|| Failed::new(Came::Sent, "silent"))? {
             None => return Ok(()),
             Some(frame) => frame.map_err(|e| Failed::new(Came::Answered, chain(&e)))?,
         };
@@ -34,8 +34,8 @@
             Ok(false) => {}
             Ok(true) => {
                 let answer = frames.send(Bytes::from_static(br#"{"msg":"alive"}"#));
-                let answer = timeout(ANSWER_WITHIN, answer).await;
-                let answer = answer.map_err(|_| Failed::new(Came::Sent, "the answer is left unread"))?;
+                let answer = within(ANSWER_WITHIN, answer).await;
+                let answer = answer.ok_or_else(|| Failed::new(Came::Sent, "the answer is left unread"))?;
                 answer.map_err(|e| Failed::new(Came::Sent, chain(&e)))?;
             }
             Err(fault) => {
--- a/supervisor/src/front.rs
+++ b/supervisor/src/front.rs
@@ -3,6 +3,7 @@
 
 use crate::collectors;
 use crate::errors::{chain, Came, Failed};
+use crate::limits::within;
 use crate::log::Sparing;
 use crate::papers::Names;
 use crate::planner::Ear;
@@ -21,7 +22,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Semaphore};
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 /// Strangers connect and say nothing.
 const FIRST_BYTE_WITHIN: Duration = Duration::from_secs(10);
@@ -84,8 +85,8 @@
 /// One connection from its first byte to its end; true where it spoke in frames.
 async fn one(stream: TcpStream, front: &Front, router: Router, log: &Logger) -> Result<bool, Failed> {
     let mut first = [0];
-    let peeked = timeout(FIRST_BYTE_WITHIN, stream.peek(&mut first)).await;
-    let peeked = peeked.map_err(|_| Failed::new(Came::NotConnected, "said nothing"))?;
+    let peeked = within(FIRST_BYTE_WITHIN, stream.peek(&mut first)).await;
+    let peeked = peeked.ok_or_else(|| Failed::new(Came::NotConnected, "said nothing"))?;
     if peeked.map_err(|e| Failed::new(Came::NotConnected, e))? == 0 {
         return Ok(false);
     }
@@ -97,7 +98,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_WITHIN)
         .serve_connection(TokioIo::new(stream), TowerToHyperService::new(router));
-    let page = timeout(PAGE_WITHIN, page).await.map_err(|_| Failed::new(Came::Sent, "page kept open"))?;
+    let page = within(PAGE_WITHIN, page).await.ok_or_else(|| Failed::new(Came::Sent, "page kept open"))?;
     page.map(|()| false).map_err(|e| Failed::new(Came::Answered, chain(&e)))
 }
 
--- a/supervisor/src/main.rs
+++ b/supervisor/src/main.rs
@@ -6,6 +6,7 @@
 mod desk;
 mod errors;
 mod front;
+mod limits;
 mod list;
 mod log;
 mod news;
--- a/supervisor/src/news.rs
+++ b/supervisor/src/news.rs
@@ -3,6 +3,7 @@
 
 use crate::client::Peer;
 use crate::errors::{chain, Came, Failed};
+use crate::limits::within;
 use crate::log::Sparing;
 use crate::papers::Names;
 use crate::planner::Ear;
@@ -16,11 +17,11 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 use tokio_util::codec::{FramedRead, LinesCodec};
 use tokio_util::io::StreamReader;
 
-const HEAD_WITHIN: Duration = Duration::from_millis(300);
+const HEAD_WITHIN: Duration = Duration::from_millis(800);
 /// A sign of life comes each second; two that are missing are not chance.
 const SILENT_FOR: Duration = Duration::from_millis(2_300);
 const LONGEST_LINE: usize = 64 << 10;
@@ -65,8 +66,8 @@
     // Whom this connection has named, until the first sign of life closes what it opened with.
     let mut named = Some(BTreeSet::new());
     loop {
-        let line = timeout(SILENT_FOR, lines.next()).await;
-        let line = line.map_err(|_| Failed::new(Came::Sent, "no sign of life"))?;
+        let line = within(SILENT_FOR, lines.next()).await;
+        let line = line.ok_or_else(|| Failed::new(Came::Sent, "no sign of life"))?;
         let line = line.ok_or_else(|| Failed::new(Came::Answered, "ended"))?;
         let line = line.map_err(|e| Failed::new(Came::Answered, chain(&e)))?;
         if !std::mem::replace(heard, true) {
