--- a/src/host.rs
+++ b/src/host.rs
@@ -19,7 +19,7 @@
 }
 
 /// What the list knows of one server.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Listing {
     pub id: Id,
     pub zone: u32,
--- a/supervisor/src/desk.rs
+++ b/supervisor/src/desk.rs
@@ -8,7 +8,7 @@
 use serde_json::{json, Value};
 use slog::{warn, Logger};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use std::rc::Rc;
 use tokio::sync::Notify;
 
@@ -38,6 +38,8 @@
     wakes: BinaryHeap<Reverse<(Moment, u64, u64)>>,
     woken: u64,
     pub listed: BTreeMap<Id, Listing>,
+    /// Servers that joined proxies are barred from by our order.
+    pub withdrawn: BTreeSet<Id>,
     /// Zone and usual rate of each proxy that is joined.
     pub joined: BTreeMap<u32, (u32, f64)>,
 }
@@ -56,6 +58,7 @@
             wakes: BinaryHeap::new(),
             woken: 0,
             listed: BTreeMap::new(),
+            withdrawn: BTreeSet::new(),
             joined: BTreeMap::new(),
         }
     }
@@ -127,6 +130,11 @@
     }
 
     fn withdraw(&mut self, server: &Id, out: bool) {
+        if out {
+            self.withdrawn.insert(server.clone());
+        } else {
+            self.withdrawn.remove(server);
+        }
         let order = json!({"op": if out { "eject" } else { "uneject" }, "endpoint": &**server});
         self.say(self.checks.withdrawal(server), order, About::Other);
     }
--- a/supervisor/src/errors.rs
+++ b/supervisor/src/errors.rs
@@ -10,8 +10,10 @@
     Sent,
     /// An answer began, and was cut off, too large or unreadable: it may have happened.
     Answered,
-    /// The answer was a plain no: it has not happened.
+    /// The answer was a plain "not now": it has not happened.
     TurnedAway,
+    /// The answer was that this can never be done: it has not happened.
+    Unfit,
 }
 
 #[derive(Debug)]
@@ -38,6 +40,7 @@
             Came::Sent => "sent, no answer",
             Came::Answered => "answer not usable",
             Came::TurnedAway => "turned away",
+            Came::Unfit => "unfit",
         };
         write!(f, "{how_far}: {}", self.why)
     }
--- a/supervisor/src/orders.rs
+++ b/supervisor/src/orders.rs
@@ -5,7 +5,7 @@
 use crate::desk::{About, Order};
 use crate::errors::{Came, Failed};
 use hyper::body::Bytes;
-use hyper::Method;
+use hyper::{Method, StatusCode};
 use serde_json::Value;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -73,8 +73,13 @@
             _ => {
                 let text: String = String::from_utf8_lossy(&answer).chars().take(120).collect();
                 // Only a plain no tells that nothing was carried out; an inner error of the relay's does not.
-                let no = !status.is_success() && (status.is_client_error() || text.contains("throttled"));
-                let came = if no { Came::TurnedAway } else { Came::Answered };
+                let came = if text.contains("throttled") || status == StatusCode::TOO_MANY_REQUESTS {
+                    Came::TurnedAway
+                } else if status.is_client_error() {
+                    Came::Unfit
+                } else {
+                    Came::Answered
+                };
                 Err(Failed::new(came, format!("status {status}: {text}")))
             }
         }
--- a/supervisor/src/planner.rs
+++ b/supervisor/src/planner.rs
@@ -2,6 +2,7 @@
 //! is ready, tell it to the rules with one moment, send what they ordered as one call, tell them its fate.
 
 use crate::desk::{About, Desk};
+use crate::errors::Came;
 use crate::orders::{Fate, Orders};
 use crate::papers::Papers;
 use otterwinch::host::Listing;
@@ -166,6 +167,12 @@
                     }
                     self.rules.host().again = self.lost;
                 }
+                // A call that the relay can't read would stop all that follows, for ever.
+                Fate::Lost(failed) if failed.came == Came::Unfit => {
+                    error!(self.log, "the relay can't use our orders"; "why" => %failed);
+                    self.open_anew(now);
+                    return;
+                }
                 Fate::Lost(failed) => {
                     self.lost_calls += 1;
                     if !std::mem::replace(&mut self.lost, true) {
@@ -185,17 +192,28 @@
         let Err(cause) = catch_unwind(AssertUnwindSafe(|| told(&mut self.rules, now))) else { return };
         let text = cause.downcast_ref::<String>().map(String::as_str);
         let text = text.or(cause.downcast_ref::<&str>().copied()).unwrap_or("unknown");
-        error!(self.log, "the rules broke and are opened anew"; "cause" => text);
+        error!(self.log, "the rules broke"; "cause" => text);
+        self.open_anew(now);
+    }
+
+    /// Opens the rules again on what stands outside, as after a start. Whom the old ones had barred proxies
+    /// from is told to them as gone first: else nobody would ever let it back in when it returns.
+    fn open_anew(&mut self, now: Moment) {
+        error!(self.log, "the rules are opened anew");
         let new = Desk::new(self.papers.checks(), self.papers.names.clone(), now, self.log.clone());
         let mut desk = std::mem::replace(self.rules.host(), new);
         desk.cleared();
         self.orders.in_hand.clear();
         (self.lost, self.opened) = (false, self.opened + 1);
         let listings: Vec<Listing> = desk.listed.values().cloned().collect();
+        let barred = std::mem::take(&mut desk.withdrawn);
+        let barred = barred.into_iter().map(|id| Listing { id, ..Listing::default() });
+        let barred: Vec<Listing> = barred.collect();
         let joined: Vec<(u32, (u32, f64))> = desk.joined.iter().map(|(proxy, at)| (*proxy, *at)).collect();
         let seed = self.papers.seed.wrapping_add(self.opened);
         self.rules = Rules::open(desk, self.papers.charter.clone(), seed, now);
         let tell = |rules: &mut Rules<Desk>| {
+            rules.list_changed(now, &barred);
             rules.list_whole(now, &listings);
             joined.iter().for_each(|(p, (zone, rate))| rules.proxy_joined(now, *p, *zone, *rate, false));
         };
@@ -228,6 +246,7 @@
 mod tests {
     use super::*;
     use crate::client::Peer;
+    use otterwinch::host::Standing;
     use slog::{o, Discard};
 
     fn planner() -> Planner {
@@ -252,6 +271,21 @@
         assert_eq!(orders.iter().filter(|o| o.text.contains(r#""node":3"#)).count(), 1);
     }
 
+    #[test]
+    fn a_server_that_broken_rules_had_barred_is_let_back_in() {
+        let mut planner = planner();
+        let now = planner.clock.now();
+        let gone = Listing { id: "a".into(), ..Listing::default() };
+        planner.rules.host().learn(std::slice::from_ref(&gone), false);
+        planner.rules.list_changed(now, std::slice::from_ref(&gone));
+        planner.open_anew(now);
+        let back = Listing { weight: 1.0, standing: Standing::Ready, ..gone };
+        planner.rules.proxy_joined(now, 3, 0, 5.0, true);
+        planner.rules.list_changed(now + Span::secs(1.0), &[back]);
+        let orders = &planner.rules.host().orders;
+        assert!(orders.iter().any(|o| o.text.contains("uneject")));
+    }
+
     #[test]
     fn wake_ups_come_in_the_order_of_their_time() {
         use otterwinch::host::Host;
--- a/supervisor/tests/common/mod.rs
+++ b/supervisor/tests/common/mod.rs
@@ -85,6 +85,8 @@
     /// Answers what can't be read.
     Mumbles,
     Throttles,
+    /// Says that this is no call.
+    CannotUseIt,
 }
 
 #[derive(Clone)]
@@ -127,6 +129,7 @@
                 Does::Breaks => _ = to.shutdown(Shutdown::Both),
                 Does::IsSilent => silent.lock().unwrap().push(to.try_clone().unwrap()),
                 Does::Mumbles => answer(to, "200 OK", "{\"tak"),
+                Does::CannotUseIt => answer(to, "400 Bad Request", r#"{"error":"invalid"}"#),
                 Does::Throttles => answer(to, "429 Too Many Requests", r#"{"error":"throttled"}"#),
             }
             true
--- a/supervisor/tests/sockets.rs
+++ b/supervisor/tests/sockets.rs
@@ -74,6 +74,17 @@
     comes_again_when_the_relay(Does::Throttles);
 }
 
+#[test]
+fn when_the_relay_cannot_use_a_call_all_is_planned_and_bound_anew() {
+    let (list, relay, supervisor) = serving();
+    relay.will(Does::CannotUseIt);
+    list.changes(&[server("a", "leaving")]);
+    relay.call_with("eject");
+    supervisor.logged("the rules are opened anew");
+    assert_eq!(relay.order("put")["endpoint"], "b");
+    assert_eq!(relay.order("attach")["node"], 7);
+}
+
 #[test]
 fn an_answer_in_pieces_is_an_answer() {
     let (list, relay, _supervisor) = serving();
