A rest lasts as long on sockets as on the simulator: half a turn more, against late timers

Ruled out: what comes in (sums, joins and list equal), the number and cadence of calls, their time (under 1 ms). A probe laid each server's lines beside the simulator's wire: held-back servers went up a rung after 5 s there and after 4 s on sockets. To blame is the strict comparison in judge: a rest of 4 s ends on a turn, and on the simulator's exact clock 4.000 is not over 4, while a real timer is a little late.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -228,10 +228,8 @@
                 self.judge(now);
                 self.shed(now);
                 self.servers.values_mut().for_each(|s| s.tally.halve());
-                let pulse = &mut self.pulse;
-                pulse.asked.iter_mut().for_each(|asked| *asked /= 2.0);
-                (pulse.tries, pulse.answered) = (pulse.tries / 4.0, pulse.answered / 4.0);
-                (pulse.served, pulse.over) = (pulse.served / 2.0, pulse.over * 0.5);
+                self.pulse.halve();
+                (self.pulse.tries, self.pulse.answered) = (self.pulse.tries / 2.0, self.pulse.answered / 2.0);
                 self.pulse.peak = (self.pulse.peak * PEAK_KEPT).max(self.ready_weight());
                 self.host.wake(GATHER, TURN);
             }
@@ -643,7 +641,8 @@
         }
         for server in self.servers.values_mut().filter(|s| s.ready() && s.rung > 0) {
             let at_par = server.tally.total() < ENOUGH || server.tally.mean_of(HURT) <= Some(par + AT_PAR);
-            if at_par && now - server.judged > REST * f64::from(server.strikes) {
+            // Half a turn more: else it hangs on how late a timer is whether a rest lasts a turn longer.
+            if at_par && now - server.judged > REST * f64::from(server.strikes) + GATHER * 0.5 {
                 server.move_to(server.rung - 1, now);
                 server.strikes = if server.rung == 0 { 0 } else { server.strikes };
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -101,6 +101,14 @@
 }
 
 impl Pulse {
+    pub fn halve(&mut self) {
+        self.asked.iter_mut().for_each(|asked| *asked /= 2.0);
+        for sum in [&mut self.tries, &mut self.answered, &mut self.served] {
+            *sum /= 2.0;
+        }
+        self.over = self.over * 0.5;
+    }
+
     pub fn count(&mut self, tries: f64, answered: f64) {
         self.tries += tries;
         self.answered += answered;
