--- a/supervisor/tests/sockets.rs
+++ b/supervisor/tests/sockets.rs
@@ -85,6 +85,20 @@
     assert_eq!(relay.order("attach")["node"], 7);
 }
 
+#[test]
+fn after_a_long_silence_of_the_relay_what_was_held_goes_and_joins_are_bound() {
+    let (list, relay, supervisor) = serving();
+    (0..5).for_each(|_| relay.will(Does::IsSilent));
+    list.changes(&[server("a", "leaving")]);
+    relay.call_with("eject");
+    // Comes while orders are lost, and waits behind them.
+    list.changes(&[server("c", "active")]);
+    supervisor.logged("relay takes orders again");
+    assert_eq!(relay.call_with("put").last().unwrap()["op"], "fence");
+    relay.joins(8);
+    assert_eq!(relay.order("attach")["node"], 8);
+}
+
 #[test]
 fn a_connection_that_the_relay_has_closed_costs_no_orders() {
     let (list, relay, _supervisor) = serving();
