--- a/supervisor/src/desk.rs
+++ b/supervisor/src/desk.rs
@@ -37,9 +37,10 @@
     pub now: Moment,
     wakes: BinaryHeap<Reverse<(Moment, u64, u64)>>,
     woken: u64,
-    pub listed: BTreeMap<Id, Listing>,
+    /// Whatever was ever listed, as it was listed last.
+    listed: BTreeMap<Id, Listing>,
     /// Servers that joined proxies are barred from by our order.
-    pub withdrawn: BTreeSet<Id>,
+    withdrawn: BTreeSet<Id>,
     /// Zone and usual rate of each proxy that is joined.
     pub joined: BTreeMap<u32, (u32, f64)>,
 }
@@ -66,15 +67,17 @@
     pub fn learn(&mut self, listings: &[Listing], whole: bool) {
         self.checks.learn(listings.iter().map(|l| &l.id));
         if whole {
-            self.listed.clear();
-        }
-        for listing in listings {
-            if listing.standing == Standing::Gone {
-                self.listed.remove(&listing.id);
-            } else {
-                self.listed.insert(listing.id.clone(), listing.clone());
-            }
+            self.listed.values_mut().for_each(|listing| listing.standing = Standing::Gone);
         }
+        self.listed.extend(listings.iter().map(|listing| (listing.id.clone(), listing.clone())));
+    }
+
+    /// What is listed now, and what is not although the relay's tables or its bars may still name it.
+    pub fn stands(&self) -> (Vec<Listing>, Vec<Listing>) {
+        let gone = |l: &&Listing| l.standing == Standing::Gone;
+        let listed = self.listed.values().filter(|l| !gone(l)).cloned().collect();
+        let barred = self.listed.values().filter(|l| gone(l) || self.withdrawn.contains(&l.id));
+        (listed, barred.map(|l| Listing { standing: Standing::Gone, ..l.clone() }).collect())
     }
 
     pub fn joined(&mut self, proxy: u32, zone: u32, rate: f64) {
--- a/supervisor/src/planner.rs
+++ b/supervisor/src/planner.rs
@@ -5,7 +5,6 @@
 use crate::errors::Came;
 use crate::orders::{Fate, Orders};
 use crate::papers::Papers;
-use otterwinch::host::Listing;
 use otterwinch::rules::Rules;
 use otterwinch::time::{Moment, Span};
 use serde_json::json;
@@ -196,8 +195,9 @@
         self.open_anew(now);
     }
 
-    /// Opens the rules again on what stands outside, as after a start. Whom the old ones had barred proxies
-    /// from is told to them as gone first: else nobody would ever let it back in when it returns.
+    /// Opens the rules again on what stands outside, as after a start. They are first told as gone of whatever
+    /// the relay may still hold from the old ones: else a line of a server that has left would stay (rule 3),
+    /// and one that was barred would never be let back in.
     fn open_anew(&mut self, now: Moment) {
         error!(self.log, "the rules are opened anew");
         let new = Desk::new(self.papers.checks(), self.papers.names.clone(), now, self.log.clone());
@@ -205,16 +205,13 @@
         desk.cleared();
         self.orders.in_hand.clear();
         (self.lost, self.opened) = (false, self.opened + 1);
-        let listings: Vec<Listing> = desk.listed.values().cloned().collect();
-        let barred = std::mem::take(&mut desk.withdrawn);
-        let barred = barred.into_iter().map(|id| Listing { id, ..Listing::default() });
-        let barred: Vec<Listing> = barred.collect();
+        let (listed, gone) = desk.stands();
         let joined: Vec<(u32, (u32, f64))> = desk.joined.iter().map(|(proxy, at)| (*proxy, *at)).collect();
         let seed = self.papers.seed.wrapping_add(self.opened);
         self.rules = Rules::open(desk, self.papers.charter.clone(), seed, now);
         let tell = |rules: &mut Rules<Desk>| {
-            rules.list_changed(now, &barred);
-            rules.list_whole(now, &listings);
+            rules.list_changed(now, &gone);
+            rules.list_whole(now, &listed);
             joined.iter().for_each(|(p, (zone, rate))| rules.proxy_joined(now, *p, *zone, *rate, false));
         };
         if catch_unwind(AssertUnwindSafe(|| tell(&mut self.rules))).is_err() {
@@ -230,7 +227,7 @@
         self.paged = now;
         let (calls, lost_calls, opened, lost) = (self.orders.calls, self.lost_calls, self.opened, self.lost);
         let desk = self.rules.host();
-        let (servers, proxies, ordered) = (desk.listed.len(), desk.joined.len(), desk.ordered);
+        let (servers, proxies, ordered) = (desk.stands().0.len(), desk.joined.len(), desk.ordered);
         let page = json!({"servers": servers, "proxies": proxies, "orders": ordered, "calls": calls,
             "calls_lost": lost_calls, "opened": opened, "relay_away": lost});
         self.page.send_replace(page.to_string());
@@ -246,7 +243,7 @@
 mod tests {
     use super::*;
     use crate::client::Peer;
-    use otterwinch::host::Standing;
+    use otterwinch::host::{Listing, Standing};
     use slog::{o, Discard};
 
     fn planner() -> Planner {
@@ -286,6 +283,18 @@
         assert!(orders.iter().any(|o| o.text.contains("uneject")));
     }
 
+    #[test]
+    fn a_server_that_left_as_the_rules_broke_is_barred() {
+        let mut planner = planner();
+        let now = planner.clock.now();
+        planner.rules.proxy_joined(now, 3, 0, 5.0, true);
+        planner.rules.woke(now + Span::secs(1.0), 4);
+        planner.rules.host().learn(&[], true);
+        planner.open_anew(now + Span::secs(1.0));
+        let orders = &planner.rules.host().orders;
+        assert_eq!(orders.iter().filter(|o| o.text.contains(r#""eject""#)).count(), 1);
+    }
+
     #[test]
     fn wake_ups_come_in_the_order_of_their_time() {
         use otterwinch::host::Host;
