--- a/hostkit/src/checks.rs
+++ b/hostkit/src/checks.rs
@@ -1,6 +1,6 @@
 //! Checks on orders before they go out, so that a slip in the rules costs an order and not the whole call.
 
-use crate::Figures;
+use otterwinch::charter::Charter;
 use otterwinch::host::Id;
 use std::collections::BTreeSet;
 
@@ -17,15 +17,15 @@
 /// ```
 #[derive(Default)]
 pub struct Checks {
-    pub slices: bool,
+    slices: bool,
     known: BTreeSet<Id>,
     joined: BTreeSet<u32>,
     charges: BTreeSet<u32>,
 }
 
 impl Checks {
-    pub fn new(settings: &Figures) -> Self {
-        Checks { slices: settings.at("familyInfo").at("slices").count() > 0, ..Checks::default() }
+    pub fn new(charter: &Charter) -> Self {
+        Checks { slices: charter.slices > 0, ..Checks::default() }
     }
 
     pub fn learn<'a>(&mut self, ids: impl Iterator<Item = &'a Id>) {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -322,12 +322,12 @@
 
     /// What differs from what stands, and whether it can't wait: servers that left, a table's first usable
     /// lines, a known server that came back cold. The widest gaps first; slight ones are not worth their way.
-    fn changes(&mut self, now: Moment, number: u32) -> Vec<Change> {
+    fn changes(&mut self, now: Moment, number: u32, users: f64) -> Vec<Change> {
         let wanted = self.wanted(now, number);
         if wanted.is_empty() && self.carried(now, number) {
             return Vec::new();
         }
-        let way = self.users(number) / self.charter.channel_rate.max(1.0);
+        let way = users / self.charter.channel_rate.max(1.0);
         let mean = wanted.values().map(|w| w.0).sum::<f64>() / wanted.len().max(1) as f64;
         let Some(tbl) = self.tbls.get_mut(&number) else { return Vec::new() };
         tbl.carried = None;
@@ -415,7 +415,8 @@
     fn publish(&mut self, now: Moment, due: bool) -> bool {
         let (mut changed, mut hasty) = (Vec::new(), BTreeSet::new());
         for number in self.tbls.keys().copied().collect::<Vec<_>>() {
-            let (changes, users) = (self.changes(now, number), self.users(number));
+            let users = self.users(number);
+            let changes = self.changes(now, number, users);
             if users > 0.0 {
                 // Who left first goes first.
                 let left = |id| self.servers.get(id).map(|s| s.left);
--- a/supervisor/src/desk.rs
+++ b/supervisor/src/desk.rs
@@ -26,7 +26,7 @@
 }
 
 pub struct Desk {
-    pub checks: Checks,
+    checks: Checks,
     names: Rc<Names>,
     log: Logger,
     pub follow: Rc<Notify>,
@@ -72,6 +72,11 @@
         self.listed.extend(listings.iter().map(|listing| (listing.id.clone(), listing.clone())));
     }
 
+    /// How many servers are listed now.
+    pub fn servers(&self) -> usize {
+        self.listed.values().filter(|l| l.standing != Standing::Gone).count()
+    }
+
     /// What is listed now, and what is not although the relay's tables or its bars may still name it.
     pub fn stands(&self) -> (Vec<Listing>, Vec<Listing>) {
         let gone = |l: &&Listing| l.standing == Standing::Gone;
--- a/supervisor/src/news.rs
+++ b/supervisor/src/news.rs
@@ -2,6 +2,7 @@
 //! breaks or falls silent; it then tells anew who is joined, and whoever it does not name has left.
 
 use crate::client::Peer;
+use crate::desk::Desk;
 use crate::errors::{chain, Came, Failed};
 use crate::limits::within;
 use crate::log::Sparing;
@@ -11,10 +12,12 @@
 use http_body_util::BodyDataStream;
 use hyper::body::Bytes;
 use hyper::Method;
+use otterwinch::rules::Rules;
 use otterwinch_hostkit::Fields;
 use serde_json::Value;
 use slog::{info, warn, Logger};
 use std::collections::BTreeSet;
+use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -37,10 +40,7 @@
     let (mut failures, mut odd) = (0, Sparing::default());
     loop {
         let mut heard = false;
-        let failed = match read(&peer, &names, &ear, &log, &mut odd, &mut heard).await {
-            Ok(()) => return,
-            Err(failed) => failed,
-        };
+        let Err(failed) = read(&peer, &names, &ear, &log, &mut odd, &mut heard).await;
         failures = if heard { 0 } else { failures + 1 };
         if failures <= 1 {
             warn!(log, "news lost"; "why" => %failed);
@@ -49,6 +49,7 @@
     }
 }
 
+/// Reads one connection to its end, which is always a failure.
 async fn read(
     peer: &Peer,
     names: &Names,
@@ -56,7 +57,7 @@
     log: &Logger,
     odd: &mut Sparing,
     heard: &mut bool,
-) -> Result<(), Failed> {
+) -> Result<Infallible, Failed> {
     let answer = peer.send(Method::GET, "/v3/kv/stream", Bytes::new(), HEAD_WITHIN).await?;
     if !answer.status().is_success() {
         return Err(Failed::new(Came::TurnedAway, format!("status {}", answer.status())));
@@ -84,10 +85,8 @@
             if let Some(named) = named.take() {
                 ear.tell(move |rules, _| {
                     let joined: Vec<u32> = rules.host().joined.keys().copied().collect();
-                    for proxy in joined.into_iter().filter(|proxy| !named.contains(proxy)) {
-                        rules.host().left(proxy);
-                        rules.proxy_left(proxy);
-                    }
+                    let missing = joined.into_iter().filter(|proxy| !named.contains(proxy));
+                    missing.for_each(|proxy| left(rules, proxy));
                 })
                 .await;
             }
@@ -101,6 +100,11 @@
     }
 }
 
+fn left(rules: &mut Rules<Desk>, proxy: u32) {
+    rules.host().left(proxy);
+    rules.proxy_left(proxy);
+}
+
 async fn one(
     value: &Value,
     names: &Names,
@@ -123,11 +127,7 @@
         }
         "bye" => {
             named.iter_mut().for_each(|named| _ = named.remove(&proxy));
-            ear.tell(move |rules, _| {
-                rules.host().left(proxy);
-                rules.proxy_left(proxy);
-            })
-            .await;
+            ear.tell(move |rules, _| left(rules, proxy)).await;
         }
         "ack" => {
             let number = f.small("nonce")?;
--- a/supervisor/src/papers.rs
+++ b/supervisor/src/papers.rs
@@ -3,13 +3,12 @@
 use crate::list;
 use otterwinch::charter::Charter;
 use otterwinch::host::Listing;
-use otterwinch_hostkit::{charter, Checks, Fields, Figures};
+use otterwinch_hostkit::{charter, Fields, Figures};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// The settings' names in their order: what comes by name is told to the rules by its place.
-#[derive(Clone, Debug, Default)]
 pub struct Names {
     pub zones: Vec<String>,
     pub products: Vec<String>,
@@ -32,7 +31,6 @@
 /// Connections at our address, whatever the papers allow.
 const MOST_CONNECTIONS: u64 = 512;
 
-#[derive(Clone)]
 pub struct Papers {
     pub name: String,
     pub listen: SocketAddr,
@@ -44,14 +42,9 @@
     pub known: Vec<Listing>,
     /// How many connections our address may hold: half of all sockets, so that our own ways out have theirs.
     pub connections: usize,
-    settings: Value,
 }
 
 impl Papers {
-    pub fn checks(&self) -> Checks {
-        Checks::new(&Figures::of(&self.settings))
-    }
-
     /// Reads the file that the environment names; every fault found, a line each.
     pub fn from_file(path: Option<&str>, env: impl Fn(&str) -> Option<String>) -> Result<Self, Vec<String>> {
         let path = match path.map(str::to_owned).or_else(|| env("GW_CONFIG")) {
@@ -83,15 +76,15 @@
             u64::from_str_radix(text, 16)
                 .map_err(|_| format!("papers: field 'seed' is not hexadecimal: '{text}'"))
         }));
-        let settings = faults.none_in(f.value("settings")).cloned().unwrap_or_default();
-        let figures = Figures::of(&settings);
+        let settings = faults.none_in(f.object("settings"));
+        let figures = settings.unwrap_or(Figures::of(&Value::Null));
         let names = Names {
             zones: figures.at("zones").rows().map(|zone| zone.word().to_owned()).collect(),
             products: figures.at("classes").rows().map(|row| row.at("name").word().to_owned()).collect(),
         };
         // On sockets the list answers only when it is asked, whatever the settings say of it.
         let charter = Charter { list_on_request: true, ..charter(&figures) };
-        if !settings.is_null() {
+        if settings.is_some() {
             let holds_nothing = |list| move || format!("papers: field 'settings.{list}' holds nothing");
             faults.unless(!names.zones.is_empty(), holds_nothing("zones"));
             faults.unless(!names.products.is_empty(), holds_nothing("classes"));
@@ -111,7 +104,7 @@
                 if faults.0.is_empty() =>
             {
                 let (names, known) = (Rc::new(names), known.listings);
-                Ok(Papers { name, listen, list, relay, seed, names, charter, known, connections, settings })
+                Ok(Papers { name, listen, list, relay, seed, names, charter, known, connections })
             }
             _ => Err(faults.0),
         }
--- a/supervisor/src/planner.rs
+++ b/supervisor/src/planner.rs
@@ -7,9 +7,9 @@
 use crate::papers::Papers;
 use otterwinch::rules::Rules;
 use otterwinch::time::{Moment, Span};
+use otterwinch_hostkit::{caught, Checks};
 use serde_json::json;
 use slog::{error, info, warn, Logger};
-use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
@@ -32,7 +32,6 @@
 }
 
 /// Unix time that never steps: the system's clock once, then the steady one.
-#[derive(Clone, Copy)]
 pub struct Clock {
     began: Instant,
     unix: Span,
@@ -69,7 +68,7 @@
     pub fn open(papers: Papers, orders: Orders, log: Logger) -> (Self, Ear, watch::Receiver<String>) {
         let clock = Clock::start();
         let now = clock.now();
-        let desk = Desk::new(papers.checks(), papers.names.clone(), now, log.clone());
+        let desk = Desk::new(Checks::new(&papers.charter), papers.names.clone(), now, log.clone());
         let mut rules = Rules::open(desk, papers.charter.clone(), papers.seed, now);
         rules.host().learn(&papers.known, true);
         rules.list_whole(now, &papers.known);
@@ -188,11 +187,10 @@
 
     /// Rules that break are opened anew from what stands outside, as after a start.
     fn guarded(&mut self, now: Moment, told: Told) {
-        let Err(cause) = catch_unwind(AssertUnwindSafe(|| told(&mut self.rules, now))) else { return };
-        let text = cause.downcast_ref::<String>().map(String::as_str);
-        let text = text.or(cause.downcast_ref::<&str>().copied()).unwrap_or("unknown");
-        error!(self.log, "the rules broke"; "cause" => text);
-        self.open_anew(now);
+        if let Err(cause) = caught(|| told(&mut self.rules, now)) {
+            error!(self.log, "the rules broke"; "cause" => cause);
+            self.open_anew(now);
+        }
     }
 
     /// Opens the rules again on what stands outside, as after a start. They are first told as gone of whatever
@@ -200,13 +198,13 @@
     /// and one that was barred would never be let back in.
     fn open_anew(&mut self, now: Moment) {
         error!(self.log, "the rules are opened anew");
-        let new = Desk::new(self.papers.checks(), self.papers.names.clone(), now, self.log.clone());
+        let new = Desk::new(Checks::default(), self.papers.names.clone(), now, self.log.clone());
         let mut desk = std::mem::replace(self.rules.host(), new);
         desk.cleared();
         self.orders.in_hand.clear();
         (self.lost, self.opened) = (false, self.opened + 1);
         let (listed, gone) = desk.stands();
-        let joined: Vec<(u32, (u32, f64))> = desk.joined.iter().map(|(proxy, at)| (*proxy, *at)).collect();
+        let joined = desk.joined.clone();
         let seed = self.papers.seed.wrapping_add(self.opened);
         self.rules = Rules::open(desk, self.papers.charter.clone(), seed, now);
         let tell = |rules: &mut Rules<Desk>| {
@@ -214,7 +212,7 @@
             rules.list_whole(now, &listed);
             joined.iter().for_each(|(p, (zone, rate))| rules.proxy_joined(now, *p, *zone, *rate, false));
         };
-        if catch_unwind(AssertUnwindSafe(|| tell(&mut self.rules))).is_err() {
+        if caught(|| tell(&mut self.rules)).is_err() {
             error!(self.log, "the rules broke again on what stands");
         }
     }
@@ -227,7 +225,7 @@
         self.paged = now;
         let (calls, lost_calls, opened, lost) = (self.orders.calls, self.lost_calls, self.opened, self.lost);
         let desk = self.rules.host();
-        let (servers, proxies, ordered) = (desk.stands().0.len(), desk.joined.len(), desk.ordered);
+        let (servers, proxies, ordered) = (desk.servers(), desk.joined.len(), desk.ordered);
         let page = json!({"servers": servers, "proxies": proxies, "orders": ordered, "calls": calls,
             "calls_lost": lost_calls, "opened": opened, "relay_away": lost});
         self.page.send_replace(page.to_string());
--- a/supervisor/tests/common/mod.rs
+++ b/supervisor/tests/common/mod.rs
@@ -15,6 +15,17 @@
 
 pub const LIMIT: Duration = Duration::from_secs(30);
 
+/// Tries again and again until something comes, under the one limit.
+pub fn until<T>(what: &str, mut comes: impl FnMut() -> Option<T>) -> T {
+    let from = Instant::now();
+    while from.elapsed() < LIMIT {
+        if let Some(came) = comes() {
+            return came;
+        }
+    }
+    panic!("waited in vain: {what}");
+}
+
 /// Reads one HTTP message: its first line and its body.
 fn message(from: &mut BufReader<TcpStream>) -> Option<(String, Vec<u8>)> {
     let (mut first, mut length) = (String::new(), 0);
@@ -49,14 +60,12 @@
 }
 
 /// Accepts for ever; each connection has a thread and lives while `serve` says so.
-fn stand_in(
-    mut serve: impl FnMut(&str, &[u8], &mut TcpStream) -> bool + Clone + Send + 'static,
-) -> SocketAddr {
+fn stand_in(serve: impl Fn(&str, &[u8], &mut TcpStream) -> bool + Clone + Send + 'static) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     spawn(move || {
         for stream in listener.incoming().map_while(Result::ok) {
-            let mut serve = serve.clone();
+            let serve = serve.clone();
             spawn(move || {
                 let (mut from, mut to) = (BufReader::new(stream.try_clone().unwrap()), stream);
                 while let Some((first, body)) = message(&mut from) {
@@ -66,7 +75,6 @@
                 }
             });
         }
-        let _ = serve("", &[], &mut TcpStream::connect(address).unwrap());
     });
     address
 }
@@ -179,14 +187,7 @@
     }
 
     pub fn call_with(&self, op: &str) -> Vec<Value> {
-        let from = Instant::now();
-        while from.elapsed() < LIMIT {
-            let call = self.call();
-            if call.iter().any(|order| order["op"] == op) {
-                return call;
-            }
-        }
-        panic!("no order {op}");
+        until(op, || Some(self.call()).filter(|call| call.iter().any(|order| order["op"] == op)))
     }
 }
 
@@ -329,14 +330,8 @@
 
     /// The next line of the log with that message.
     pub fn logged(&self, msg: &str) -> Value {
-        let from = Instant::now();
-        while from.elapsed() < LIMIT {
-            let line = self.log.recv_timeout(LIMIT).unwrap_or_else(|e| panic!("no '{msg}' in the log: {e}"));
-            if line["msg"] == msg {
-                return line;
-            }
-        }
-        panic!("no '{msg}' in the log");
+        let line = || self.log.recv_timeout(LIMIT).unwrap_or_else(|e| panic!("no '{msg}' in the log: {e}"));
+        until(msg, || Some(line()).filter(|line| line["msg"] == msg))
     }
 
     pub fn connect(&self) -> TcpStream {
@@ -354,14 +349,11 @@
     }
 
     pub fn ends(&mut self) -> Option<i32> {
-        let from = Instant::now();
-        while from.elapsed() < LIMIT {
-            if let Some(status) = self.child.try_wait().unwrap() {
-                return status.code();
-            }
+        let ended = || {
             std::thread::yield_now();
-        }
-        panic!("the program does not end");
+            self.child.try_wait().unwrap()
+        };
+        until("the program's end", ended).code()
     }
 }
 
--- a/supervisor/tests/sockets.rs
+++ b/supervisor/tests/sockets.rs
@@ -2,9 +2,10 @@
 
 mod common;
 
-use common::{frame, papers, program, read_frame, server, Does, File, List, Relay, Supervisor};
+use common::{frame, papers, program, read_frame, server, until, Does, File, List, Relay, Supervisor};
 use serde_json::{json, Value};
 use std::io::{Read, Write};
+use std::net::TcpStream;
 
 fn started(ids: &[&str]) -> (List, Relay, Supervisor) {
     let (list, relay) = (List::start(ids), Relay::start());
@@ -131,10 +132,7 @@
     if call.len() > 1 {
         assert_eq!(relay.call(), call[1..]);
     }
-    let from = std::time::Instant::now();
-    while !relay.call_with("attach").contains(&declined) {
-        assert!(from.elapsed() < common::LIMIT);
-    }
+    until("the bind again", || relay.call_with("attach").contains(&declined).then_some(()));
 }
 
 #[test]
@@ -146,10 +144,12 @@
     supervisor.logged("news lost");
     // Whoever is still there may have gone and come meanwhile: it is bound anew.
     assert_eq!(relay.order("attach")["node"], 8);
-    let from = std::time::Instant::now();
-    while !supervisor.page("/state").contains(r#""proxies":1,"#) {
-        assert!(from.elapsed() < common::LIMIT);
-    }
+    until("one proxy left", || supervisor.page("/state").contains(r#""proxies":1,"#).then_some(()));
+}
+
+fn assert_answers_a_probe(stream: &mut TcpStream) {
+    stream.write_all(&frame(r#"{"msg":"probe"}"#)).unwrap();
+    assert_eq!(read_frame(stream).unwrap(), r#"{"msg":"alive"}"#);
 }
 
 #[test]
@@ -181,8 +181,7 @@
     ] {
         stream.write_all(&frame(odd)).unwrap();
     }
-    stream.write_all(&frame(r#"{"msg":"probe"}"#)).unwrap();
-    assert_eq!(read_frame(&mut stream).unwrap(), r#"{"msg":"alive"}"#);
+    assert_answers_a_probe(&mut stream);
     assert!(supervisor.logged("frame skipped")["why"].as_str().unwrap().starts_with("not a JSON value"));
 }
 
@@ -192,8 +191,7 @@
     supervisor.connect().write_all(&frame(r#"{"msg":"probe"}"#)[..9]).unwrap();
     supervisor.logged("connection ended");
     let mut good = supervisor.connect();
-    good.write_all(&frame(r#"{"msg":"probe"}"#)).unwrap();
-    assert_eq!(read_frame(&mut good).unwrap(), r#"{"msg":"alive"}"#);
+    assert_answers_a_probe(&mut good);
 }
 
 #[test]
@@ -202,8 +200,7 @@
     let (mut bad, mut good) = (supervisor.connect(), supervisor.connect());
     bad.write_all(&(1_048_577u32).to_be_bytes()).unwrap();
     assert_eq!(bad.read(&mut [0]).unwrap_or(0), 0);
-    good.write_all(&frame(r#"{"msg":"probe"}"#)).unwrap();
-    assert_eq!(read_frame(&mut good).unwrap(), r#"{"msg":"alive"}"#);
+    assert_answers_a_probe(&mut good);
 }
 
 #[test]
--- a/wirehost/src/desk.rs
+++ b/wirehost/src/desk.rs
@@ -1,9 +1,10 @@
 //! One instance's way out: encodes what the rules order, and lets nothing through that the wire calls a
 //! fault, so that a slip in the rules costs an order and not the process.
 
+use otterwinch::charter::Charter;
 use otterwinch::host::{Host, Id, Products, Retry};
 use otterwinch::time::Span;
-use otterwinch_hostkit::{Checks, Figures};
+use otterwinch_hostkit::Checks;
 use serde_json::{json, Value};
 
 pub struct Desk {
@@ -13,8 +14,8 @@
 }
 
 impl Desk {
-    pub fn new(who: u64, env: &Figures) -> Self {
-        Desk { who, checks: Checks::new(env), said: vec![] }
+    pub fn new(who: u64, charter: &Charter) -> Self {
+        Desk { who, checks: Checks::new(charter), said: vec![] }
     }
 
     fn say(&mut self, checked: Result<(), String>, kind: &str, mut fields: Value) {
--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -7,10 +7,9 @@
 use otterwinch::host::Listing;
 use otterwinch::rules::Rules;
 use otterwinch::time::{Moment, Span};
-use otterwinch_hostkit::{charter, Fields};
+use otterwinch_hostkit::{caught, charter, Fields};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
-use std::panic::{catch_unwind, AssertUnwindSafe};
 
 type Call<'a> = Box<dyn FnOnce(&mut Rules<Desk>) + 'a>;
 
@@ -62,8 +61,8 @@
                 self.pages.insert(f.whole("page")?, decode::listings(&f)?);
             }
             "UP" => {
-                let (who, env) = (f.whole("who")?, f.object("env")?);
-                let (charter, desk) = (charter(&env), Desk::new(who, &env));
+                let (who, charter) = (f.whole("who")?, charter(&f.object("env")?));
+                let desk = Desk::new(who, &charter);
                 let seed = f.whole("entropy")?;
                 let now = self.now;
                 self.guarded(who, |hosted| {
@@ -169,9 +168,7 @@
 
     /// A panic ends that instance alone, and says so on the wire.
     fn guarded(&mut self, who: u64, call: impl FnOnce(&mut Self)) {
-        if let Err(cause) = catch_unwind(AssertUnwindSafe(|| call(self))) {
-            let text = cause.downcast_ref::<String>().map(String::as_str);
-            let text = text.or(cause.downcast_ref::<&str>().copied()).unwrap_or("the decisions failed");
+        if let Err(text) = caught(|| call(self)) {
             self.instances.remove(&who);
             let die = serde_json::json!({"kind": "DIE", "who": who, "msg": text});
             self.failed.extend_from_slice(format!("{die}\n").as_bytes());
