SIGHUP moves list and relay, who does not join is closed, reports are checked field by field

Fields::count took an absent figure for 0, so a spoilt report counted.

Now: papers::follow reads the file again at SIGHUP, refuses what can't change while running, and moves list, orders and news by watch channels. A relay that says once that our call is none gets it again.

--- a/hostkit/src/fields.rs
+++ b/hostkit/src/fields.rs
@@ -3,6 +3,7 @@
 
 use crate::Figures;
 use serde_json::{Map, Value};
+use std::ops::RangeInclusive;
 
 /// Beyond this no figure of ours can lie: a greater one is a slip of its sender, and would spoil every sum.
 const GREATEST: f64 = 1e12;
@@ -73,6 +74,19 @@
         self.get(name, "a number of 0 or more", |v| v.as_f64().filter(|n| (0.0..=GREATEST).contains(n)))
     }
 
+    /// A figure that has to be there and to lie within bounds.
+    ///
+    /// ```
+    /// use otterwinch_hostkit::Fields;
+    /// let value = serde_json::json!({"low": 0, "text": "7"});
+    /// let f = Fields::named(&value, "report").unwrap();
+    /// assert!(f.figure("low", 1.0..=9.0).is_err() && f.figure("text", 0.0..=9.0).is_err());
+    /// assert_eq!((f.figure("low", 0.0..=9.0), f.figure("none", 0.0..=9.0).is_err()), (Ok(0.0), true));
+    /// ```
+    pub fn figure(&self, name: &str, bounds: RangeInclusive<f64>) -> Result<f64, String> {
+        self.get(name, "a number within bounds", |v| v.as_f64().filter(|n| bounds.contains(n)))
+    }
+
     pub fn text(&self, name: &str) -> Result<&'a str, String> {
         self.get(name, "a text", Value::as_str)
     }
--- a/src/charter.rs
+++ b/src/charter.rs
@@ -3,7 +3,7 @@
 use crate::time::Span;
 
 /// One row a product: only what the decisions read.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Product {
     pub sla: Span,
     pub revenue: f64,
@@ -19,7 +19,7 @@
     Ignored,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Charter {
     pub products: Vec<Product>,
     /// The list of servers answers only when it is asked.
--- a/supervisor/src/client.rs
+++ b/supervisor/src/client.rs
@@ -19,7 +19,7 @@
 
 pub struct Peer {
     client: Client<HttpConnector, Full<Bytes>>,
-    base: String,
+    pub address: SocketAddr,
 }
 
 impl Peer {
@@ -33,7 +33,7 @@
             .pool_timer(TokioTimer::new())
             .retry_canceled_requests(false)
             .build(connector);
-        Peer { client, base: format!("http://{address}") }
+        Peer { client, address }
     }
 
     /// Sends one message and waits for the head of its answer.
@@ -46,7 +46,7 @@
     ) -> Result<Response<Incoming>, Failed> {
         let message = Request::builder()
             .method(method)
-            .uri(format!("{}{path}", self.base))
+            .uri(format!("http://{}{path}", self.address))
             .header("content-type", "application/json")
             .body(Full::new(body))
             .map_err(|e| Failed::new(Came::NotConnected, e))?;
--- a/supervisor/src/collectors.rs
+++ b/supervisor/src/collectors.rs
@@ -1,4 +1,5 @@
-//! Collectors, and whoever else speaks in frames at our address: a four-byte length, then one JSON object.
+//! Collectors: who has joined at our address, in frames of a four-byte length and one JSON object, and what it
+//! reports. Every field that is used is checked before the rules hear any.
 
 use crate::errors::{chain, Came, Failed};
 use crate::limits::within;
@@ -10,58 +11,147 @@
 use otterwinch::time::Span;
 use otterwinch_hostkit::Fields;
 use serde_json::Value;
-use slog::{info, warn, Logger};
+use slog::{warn, Logger};
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-const LONGEST_FRAME: usize = 1 << 20;
+/// A joining and a probe take tens of bytes. Whoever has not joined gets no buffer for more: hundreds of them
+/// that each announce a megabyte would cost all our memory.
+const LONGEST_UNJOINED: usize = 1 << 10;
+/// A report takes some hundred bytes.
+const LONGEST_FRAME: usize = 64 << 10;
 const ANSWER_WITHIN: Duration = Duration::from_secs(2);
+/// Of a frame, from its first byte on.
+const FRAME_WITHIN: Duration = Duration::from_secs(5);
 /// Collectors report each second or so; one that vanished leaves its connection open for ever.
-const SILENT_FOR: Duration = Duration::from_secs(90);
+const SILENT_FOR: Duration = Duration::from_secs(30);
 
-pub async fn listen(stream: TcpStream, names: &Names, ear: &Ear, log: &Logger) -> Result<(), Failed> {
-    let codec = LengthDelimitedCodec::builder().max_frame_length(LONGEST_FRAME).new_codec();
-    let mut frames = Framed::new(stream, codec);
-    let mut odd = Sparing::default();
+/// Beyond these a figure is a slip of its sender: tries or txns of one report; a mean time; an interval.
+const MOST_COUNTED: f64 = 1e7;
+const LONGEST_MS: f64 = 600_000.0;
+
+pub type Frames = Framed<TcpStream, LengthDelimitedCodec>;
+
+fn unusable(why: impl std::fmt::Display) -> Failed {
+    Failed::new(Came::Answered, why)
+}
+
+/// Hears a stranger out until it states its zone, which is what makes it a collector; nothing where it leaves.
+/// Probes are answered; anything else is told to be an error and ends the connection.
+pub async fn join(stream: TcpStream, names: &Names) -> Result<Option<(Frames, u32)>, Failed> {
+    let codec = LengthDelimitedCodec::builder().max_frame_length(LONGEST_UNJOINED).new_codec();
+    let mut frames = Framed::with_capacity(stream, codec, LONGEST_UNJOINED);
     loop {
-        let frame = within(SILENT_FOR, frames.next()).await;
-        let frame = match frame.ok_or_else(|| Failed::new(Came::Sent, "silent"))? {
-            None => return Ok(()),
-            Some(frame) => frame.map_err(|e| Failed::new(Came::Answered, chain(&e)))?,
+        let zone = match frames.next().await {
+            None => return Ok(None),
+            Some(frame) => frame.map_err(|e| chain(&e)).and_then(|frame| greeting(&frame, names)),
         };
-        match one(&frame, names, ear, log).await {
-            Ok(false) => {}
-            Ok(true) => {
-                let answer = frames.send(Bytes::from_static(br#"{"msg":"alive"}"#));
-                let answer = within(ANSWER_WITHIN, answer).await;
-                let answer = answer.ok_or_else(|| Failed::new(Came::Sent, "the answer is left unread"))?;
-                answer.map_err(|e| Failed::new(Came::Sent, chain(&e)))?;
+        match zone {
+            Ok(None) => alive(&mut frames).await?,
+            Ok(Some(zone)) => {
+                frames.codec_mut().set_max_frame_length(LONGEST_FRAME);
+                return Ok(Some((frames, zone)));
             }
+            Err(why) => {
+                // As much as goes out at once: no close waits for a peer that does not read.
+                let _ = frames.get_ref().try_write(b"\0\0\0\x0f{\"msg\":\"error\"}");
+                return Err(unusable(why));
+            }
+        }
+    }
+}
+
+/// The zone that a stranger's frame joins for; nothing where it is a probe.
+fn greeting(frame: &[u8], names: &Names) -> Result<Option<u32>, String> {
+    let value = json(frame)?;
+    let f = Fields::of(&value, "msg")?;
+    match f.kind {
+        "probe" => Ok(None),
+        "agent" => names.zone(f.text("locality")?).map(Some),
+        kind => Err(format!("'{kind}' before joining")),
+    }
+}
+
+fn json(frame: &[u8]) -> Result<Value, String> {
+    serde_json::from_slice(frame).map_err(|e| format!("not a JSON value: {e}"))
+}
+
+async fn alive(frames: &mut Frames) -> Result<(), Failed> {
+    let answer = frames.send(Bytes::from_static(br#"{"msg":"alive"}"#));
+    let answer = within(ANSWER_WITHIN, answer).await;
+    let answer = answer.ok_or_else(|| Failed::new(Came::Sent, "the answer is left unread"))?;
+    answer.map_err(|e| Failed::new(Came::Sent, chain(&e)))
+}
+
+/// Takes reports until the collector leaves. A report that is spoilt is dropped alone; where frames can't be
+/// read any more the connection ends, so that the collector comes again. `heard` is told of each frame.
+pub async fn listen(
+    mut frames: Frames,
+    names: &Names,
+    ear: &Ear,
+    heard: impl Fn(),
+    log: &Logger,
+) -> Result<(), Failed> {
+    let mut odd = Sparing::default();
+    loop {
+        let Some(frame) = next(&mut frames).await? else { return Ok(()) };
+        heard();
+        let value = json(&frame).map_err(unusable)?;
+        match one(&value, names, ear).await {
+            Ok(false) => {}
+            Ok(true) => alive(&mut frames).await?,
             Err(fault) => {
                 if let Some(times) = odd.due() {
-                    warn!(log, "frame skipped"; "why" => fault, "times" => times);
+                    warn!(log, "report dropped"; "why" => fault, "times" => times);
                 }
             }
         }
     }
 }
 
+/// The next frame. Silence is counted from the last one, half a frame from its first byte: else a byte now and
+/// then would keep a connection for good.
+async fn next(frames: &mut Frames) -> Result<Option<impl std::ops::Deref<Target = [u8]>>, Failed> {
+    let since = Instant::now();
+    loop {
+        if frames.read_buffer().is_empty() {
+            let left = SILENT_FOR.saturating_sub(since.elapsed());
+            let came = within(left, frames.get_ref().readable()).await;
+            came.ok_or_else(|| Failed::new(Came::Sent, "silent"))?.map_err(unusable)?;
+        }
+        match within(FRAME_WITHIN, frames.next()).await {
+            Some(frame) => return frame.transpose().map_err(|e| unusable(chain(&e))),
+            // Readable, and nothing to be read after all.
+            None if frames.read_buffer().is_empty() => {}
+            None => return Err(Failed::new(Came::Sent, "half a frame")),
+        }
+    }
+}
+
 /// Takes one frame; true where it asks for a sign of life.
-async fn one(frame: &[u8], names: &Names, ear: &Ear, log: &Logger) -> Result<bool, String> {
-    let value: Value = serde_json::from_slice(frame).map_err(|e| format!("not a JSON value: {e}"))?;
-    let f = Fields::of(&value, "msg")?;
+async fn one(value: &Value, names: &Names, ear: &Ear) -> Result<bool, String> {
+    let f = Fields::of(value, "msg")?;
     match f.kind {
         "probe" => return Ok(true),
-        "agent" => info!(log, "collector found"; "zone" => f.text("locality")?),
+        "agent" => _ = names.zone(f.text("locality")?)?,
         "outcomes" => {
             let id = f.text("endpoint")?.to_owned();
-            let (tries, voided) = (f.count("total")?, f.count("errors")?);
-            let (took, over) = (millis(f.count("rtt")?), millis(f.count("interval")?));
-            ear.tell(move |rules, now| rules.met(now, &id, tries, voided, took, over)).await;
+            names.zone(f.text("locality")?)?;
+            let (tries, voided, over) = counted(&f)?;
+            // The mean of those that were answered: none of them, no mean.
+            let took = if voided < tries { f.figure("rtt", 0.0..=LONGEST_MS)? } else { 0.0 };
+            ear.tell(move |rules, now| {
+                if rules.host().lists(&id) {
+                    rules.met(now, &id, tries, voided, millis(took), over);
+                }
+            })
+            .await;
         }
         "demand" => {
-            let (product, txns) = (names.product(f.text("route")?)?, f.count("total")?);
+            names.proxy(f.small("node")?)?;
+            let (product, (txns, ..)) = (names.product(f.text("route")?)?, counted(&f)?);
             ear.tell(move |rules, _| rules.asked(product, txns)).await;
         }
         kind => return Err(format!("kind '{kind}' is unknown")),
@@ -69,6 +159,65 @@
     Ok(false)
 }
 
+/// How many in all, how many of them failed, and over how long.
+fn counted(f: &Fields) -> Result<(f64, f64, Span), String> {
+    let total = f.figure("total", 0.0..=MOST_COUNTED)?;
+    let errors = f.figure("errors", 0.0..=total)?;
+    let over = f.figure("interval", f64::MIN_POSITIVE..=LONGEST_MS)?;
+    Ok((total, errors, millis(over)))
+}
+
 fn millis(ms: f64) -> Span {
     Span::secs(ms / 1e3)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+    use tokio::sync::mpsc;
+
+    /// A sound report with one field replaced, or taken out.
+    async fn taken(kind: &str, field: &str, by: Option<Value>) -> bool {
+        let names = Names { zones: vec!["a".into()], products: vec!["quote".into()], proxies: 8 };
+        let mut report = match kind {
+            "demand" => json!({"node": 3, "route": "quote", "total": 9, "errors": 1, "interval": 1e3}),
+            _ => {
+                json!({"locality": "a", "endpoint": "s", "total": 9, "errors": 1, "rtt": 4.5, "interval": 1e3})
+            }
+        };
+        report["msg"] = kind.into();
+        match by {
+            Some(value) => report[field] = value,
+            None => _ = report.as_object_mut().unwrap().remove(field),
+        }
+        let (ear, mut told) = mpsc::channel(1);
+        let read = one(&report, &names, &Ear(ear)).await;
+        assert_eq!(read.is_ok(), told.try_recv().is_ok());
+        read.is_ok()
+    }
+
+    #[tokio::test]
+    async fn a_report_counts_only_if_each_field_is_there_of_its_type_within_bounds_and_means_something() {
+        let (text, none, many) = (json!("9"), Value::Null, json!(1e300));
+        for (kind, fields) in [
+            ("outcomes", &["locality", "endpoint", "total", "errors", "rtt", "interval"] as &[&str]),
+            ("demand", &["node", "route", "total", "errors", "interval"]),
+        ] {
+            assert!(taken(kind, "metrics", Some(json!(7))).await, "what is not used may be anything");
+            for field in fields {
+                assert!(!taken(kind, field, None).await, "{kind} without {field}");
+                for odd in [&none, &many, &json!(-1), &json!([]), &json!({})] {
+                    assert!(!taken(kind, field, Some(odd.clone())).await, "{kind} with {field} {odd}");
+                }
+                if !["endpoint"].contains(field) {
+                    assert!(!taken(kind, field, Some(text.clone())).await, "{kind} with {field} a text");
+                }
+            }
+            assert!(!taken(kind, "errors", Some(json!(10))).await, "more errors than tries");
+            assert!(!taken(kind, "interval", Some(json!(0))).await);
+        }
+        assert!(!taken("demand", "node", Some(json!(8))).await, "a proxy beyond the number in the settings");
+        assert!(taken("outcomes", "errors", Some(json!(9))).await);
+    }
+}
--- a/supervisor/src/desk.rs
+++ b/supervisor/src/desk.rs
@@ -72,6 +72,11 @@
         self.listed.extend(listings.iter().map(|listing| (listing.id.clone(), listing.clone())));
     }
 
+    /// Whether a server is listed, or was lately.
+    pub fn lists(&self, id: &str) -> bool {
+        self.listed.contains_key(id)
+    }
+
     /// How many servers are listed now.
     pub fn servers(&self) -> usize {
         self.listed.values().filter(|l| l.standing != Standing::Gone).count()
--- a/supervisor/src/list.rs
+++ b/supervisor/src/list.rs
@@ -12,9 +12,10 @@
 use otterwinch_hostkit::Fields;
 use serde_json::Value;
 use slog::{info, warn, Logger};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::Notify;
+use tokio::sync::{watch, Notify};
 
 /// How long a watch may wait before it answers with nothing: a list that has gone silent is found this late.
 const WATCH_MS: u64 = 1_500;
@@ -52,38 +53,55 @@
     })
 }
 
-/// Follows the list for ever; `follow` is the rules' word to ask, at the start and after a failure.
-pub async fn follow(peer: Peer, names: Rc<Names>, follow: Rc<Notify>, ear: Ear, log: Logger) {
-    let mut version = None;
-    let mut lost = false;
+/// Follows the list for ever; `follow` is the rules' word to ask, at the start and after a failure. A list that
+/// has moved is asked for whole at its new place at once, whatever call is open at the old.
+pub async fn follow(
+    mut place: watch::Receiver<SocketAddr>,
+    names: Rc<Names>,
+    follow: Rc<Notify>,
+    ear: Ear,
+    log: Logger,
+) {
+    let mut peer = Peer::at(*place.borrow_and_update());
+    let (mut version, mut lost, mut asking) = (None, false, false);
     loop {
-        follow.notified().await;
-        loop {
-            let told = match ask(&peer, &names, version).await {
-                Ok(told) => told,
-                Err(failed) => {
-                    if !std::mem::replace(&mut lost, true) {
-                        warn!(log, "list lost"; "why" => %failed, "version" => version);
-                    }
-                    ear.tell(|rules, _| rules.list_failed()).await;
-                    break;
-                }
-            };
-            if std::mem::take(&mut lost) || version.is_none() {
-                info!(log, "list found"; "version" => told.version, "servers" => told.listings.len());
+        let told = tokio::select! {
+            () = follow.notified(), if !asking => {
+                asking = true;
+                continue;
+            }
+            told = ask(&peer, &names, version), if asking => told,
+            Ok(()) = place.changed() => {
+                peer = Peer::at(*place.borrow_and_update());
+                (version, asking) = (None, true);
+                continue;
             }
-            version = Some(told.version);
-            if told.whole || !told.listings.is_empty() {
-                ear.tell(move |rules, now| {
-                    rules.host().learn(&told.listings, told.whole);
-                    if told.whole {
-                        rules.list_whole(now, &told.listings);
-                    } else {
-                        rules.list_changed(now, &told.listings);
-                    }
-                })
-                .await;
+        };
+        let told = match told {
+            Ok(told) => told,
+            Err(failed) => {
+                if !std::mem::replace(&mut lost, true) {
+                    warn!(log, "list lost"; "why" => %failed, "version" => version);
+                }
+                asking = false;
+                ear.tell(|rules, _| rules.list_failed()).await;
+                continue;
             }
+        };
+        if std::mem::take(&mut lost) || version.is_none() {
+            info!(log, "list found"; "version" => told.version, "servers" => told.listings.len());
+        }
+        version = Some(told.version);
+        if told.whole || !told.listings.is_empty() {
+            ear.tell(move |rules, now| {
+                rules.host().learn(&told.listings, told.whole);
+                if told.whole {
+                    rules.list_whole(now, &told.listings);
+                } else {
+                    rules.list_changed(now, &told.listings);
+                }
+            })
+            .await;
         }
     }
 }
--- a/supervisor/src/main.rs
+++ b/supervisor/src/main.rs
@@ -14,15 +14,16 @@
 mod papers;
 mod planner;
 
-use client::Peer;
 use papers::Papers;
 use planner::Planner;
 use slog::{error, info, Logger};
 use std::future::Future;
 use std::process::ExitCode;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::watch;
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::sleep;
 
@@ -73,31 +74,36 @@
 async fn serve(papers: Papers, log: Logger) -> std::io::Result<()> {
     let (mut told_to_end, mut interrupted) =
         (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
-    let (listen, names, list, relay) = (papers.listen, papers.names.clone(), papers.list, papers.relay);
-    let most = papers.connections;
-    let orders = orders::Orders::to(Peer::at(relay));
-    let (mut planner, ear, page) = Planner::open(papers, orders, log.clone());
+    // Before we answer anybody: without a handler a SIGHUP ends the process.
+    let hangups = signal(SignalKind::hangup())?;
+    let papers = Rc::new(papers);
+    let (list_moves, list) = watch::channel(papers.list);
+    let (relay_moves, relay) = watch::channel(papers.relay);
+    let orders = orders::Orders::to(relay.clone());
+    let (mut planner, ear, page) = Planner::open(papers.clone(), orders, log.clone());
     let follow = planner.follow();
-    let listener = TcpListener::bind(listen).await?;
+    let listener = TcpListener::bind(papers.listen).await?;
     info!(log, "started"; "version" => env!("CARGO_PKG_VERSION"), "listen" => %listener.local_addr()?);
+    let names = papers.names.clone();
     let front = front::Front { names: names.clone(), ear: ear.clone(), page, log: log.clone() };
-    spawn_local(front::serve(listener, front, most));
+    spawn_local(front::serve(listener, front, papers.connections));
     {
         let (names, ear, log) = (names.clone(), ear.clone(), log.clone());
         kept_up("list", log.clone(), move || {
             // A task started anew asks at once: the rules do not know that the old one broke.
             follow.notify_one();
-            list::follow(Peer::at(list), names.clone(), follow.clone(), ear.clone(), log.clone())
+            list::follow(list.clone(), names.clone(), follow.clone(), ear.clone(), log.clone())
         });
     }
     {
         let log = log.clone();
         kept_up("news", log.clone(), move || {
-            news::follow(Peer::at(relay), names.clone(), ear.clone(), log.clone())
+            news::follow(relay.clone(), names.clone(), ear.clone(), log.clone())
         });
     }
     tokio::select! {
         () = planner.run() => {}
+        () = papers::follow(hangups, papers, list_moves, relay_moves, log.clone()) => {}
         _ = told_to_end.recv() => info!(log, "told to end"),
         _ = interrupted.recv() => info!(log, "interrupted"),
     }
--- a/supervisor/src/news.rs
+++ b/supervisor/src/news.rs
@@ -18,8 +18,10 @@
 use slog::{info, warn, Logger};
 use std::collections::BTreeSet;
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::watch;
 use tokio::time::sleep;
 use tokio_util::codec::{FramedRead, LinesCodec};
 use tokio_util::io::StreamReader;
@@ -29,6 +31,8 @@
 /// only a bind for each proxy.
 const SILENT_FOR: Duration = Duration::from_millis(1_800);
 const LONGEST_LINE: usize = 64 << 10;
+/// Txns a second of one proxy beyond which the figure is a slip.
+const MOST_RATE: f64 = 1e7;
 const AGAIN: [Duration; 4] = [
     Duration::from_millis(20),
     Duration::from_millis(60),
@@ -36,16 +40,30 @@
     Duration::from_millis(240),
 ];
 
-pub async fn follow(peer: Peer, names: Rc<Names>, ear: Ear, log: Logger) {
+/// Follows the news for ever. A relay that has moved is heard at its new place at once; it opens with what
+/// stands, so nobody who stands is taken to have left.
+pub async fn follow(mut place: watch::Receiver<SocketAddr>, names: Rc<Names>, ear: Ear, log: Logger) {
+    let mut peer = Peer::at(*place.borrow_and_update());
     let (mut failures, mut odd) = (0, Sparing::default());
     loop {
         let mut heard = false;
-        let Err(failed) = read(&peer, &names, &ear, &log, &mut odd, &mut heard).await;
+        let failed = tokio::select! {
+            Err(failed) = read(&peer, &names, &ear, &log, &mut odd, &mut heard) => Some(failed),
+            Ok(()) = place.changed() => None,
+        };
+        let Some(failed) = failed else {
+            peer = Peer::at(*place.borrow_and_update());
+            failures = 0;
+            continue;
+        };
         failures = if heard { 0 } else { failures + 1 };
         if failures <= 1 {
             warn!(log, "news lost"; "why" => %failed);
         }
-        sleep(AGAIN[failures.min(AGAIN.len() - 1)]).await;
+        tokio::select! {
+            () = sleep(AGAIN[failures.min(AGAIN.len() - 1)]) => {}
+            _ = place.wait_for(|at| *at != peer.address) => {}
+        }
     }
 }
 
@@ -113,10 +131,11 @@
 ) -> Result<(), String> {
     let kind = Fields::of(value, "type")?;
     let f = Fields::named(kind.value("object")?, kind.kind)?;
-    let proxy = f.small("node")?;
+    let proxy = names.proxy(f.small("node")?)?;
     match kind.kind {
         "hello" => {
-            let (zone, rate, fresh) = (names.zone(f.text("locality")?)?, f.count("w")?, f.mark("cold"));
+            let (zone, rate, fresh) =
+                (names.zone(f.text("locality")?)?, f.figure("w", 0.0..=MOST_RATE)?, f.mark("cold"));
             named.iter_mut().for_each(|named| _ = named.insert(proxy));
             ear.tell(move |rules, now| {
                 // One that is joined already may have gone and come while the news was away.
@@ -131,7 +150,12 @@
         }
         "ack" => {
             let number = f.small("nonce")?;
-            ear.tell(move |rules, now| rules.applied(now, number, proxy)).await;
+            ear.tell(move |rules, now| {
+                if rules.host().joined.contains_key(&proxy) {
+                    rules.applied(now, number, proxy);
+                }
+            })
+            .await;
         }
         kind => return Err(format!("kind '{kind}' is unknown")),
     }
--- a/supervisor/src/orders.rs
+++ b/supervisor/src/orders.rs
@@ -8,7 +8,9 @@
 use hyper::{Method, StatusCode};
 use serde_json::Value;
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::sync::watch;
 
 const MOST_BYTES: usize = 60_000;
 /// An answer comes within 50 ms or never; the rest is for a new connection and a process scheduled late. What
@@ -24,14 +26,16 @@
 }
 
 pub struct Orders {
+    relay: watch::Receiver<SocketAddr>,
     peer: Peer,
     pub in_hand: VecDeque<Order>,
     pub calls: u64,
 }
 
 impl Orders {
-    pub fn to(peer: Peer) -> Self {
-        Orders { peer, in_hand: VecDeque::new(), calls: 0 }
+    pub fn to(mut relay: watch::Receiver<SocketAddr>) -> Self {
+        let peer = Peer::at(*relay.borrow_and_update());
+        Orders { relay, peer, in_hand: VecDeque::new(), calls: 0 }
     }
 
     /// Puts orders behind those in hand. A mark among them stands for the marks of the call that was lost, so
@@ -63,7 +67,12 @@
         Fate::Taken
     }
 
-    async fn call(&self, body: String, count: usize) -> Result<usize, Failed> {
+    async fn call(&mut self, body: String, count: usize) -> Result<usize, Failed> {
+        // A relay that has moved takes the next call at its new place, be it one that was lost at the old:
+        // that it goes again as it was and nothing overtakes it holds there too.
+        if self.relay.has_changed().unwrap_or(false) {
+            self.peer = Peer::at(*self.relay.borrow_and_update());
+        }
         let body = Bytes::from(body);
         let path = "/v3/kv/batches";
         let (status, answer) = self.peer.ask(Method::POST, path, body, ANSWER_WITHIN, MOST_ANSWER).await?;
@@ -76,7 +85,7 @@
                 // Only a plain no tells that nothing was carried out; an inner error of the relay's does not.
                 let came = if text.contains("throttled") || status == StatusCode::TOO_MANY_REQUESTS {
                     Came::TurnedAway
-                } else if status.is_client_error() {
+                } else if status.is_client_error() && text.contains("invalid") {
                     Came::Unfit
                 } else {
                     Came::Answered
--- a/supervisor/src/papers.rs
+++ b/supervisor/src/papers.rs
@@ -1,17 +1,24 @@
-//! The papers that a supervisor gets at its start: one file, checked against the environment and itself.
+//! The papers of a supervisor: one file, checked against the environment and itself, read at the start and again
+//! at each SIGHUP. A new file may move our peers; what it can't change while we run is refused.
 
 use crate::list;
 use otterwinch::charter::Charter;
 use otterwinch::host::Listing;
 use otterwinch_hostkit::{charter, Fields, Figures};
 use serde_json::Value;
+use slog::{info, warn, Logger};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use tokio::signal::unix::Signal;
+use tokio::sync::watch;
 
 /// The settings' names in their order: what comes by name is told to the rules by its place.
+#[derive(PartialEq)]
 pub struct Names {
     pub zones: Vec<String>,
     pub products: Vec<String>,
+    /// Proxies are numbered below this.
+    pub proxies: u32,
 }
 
 impl Names {
@@ -22,6 +29,11 @@
     pub fn product(&self, name: &str) -> Result<u32, String> {
         place(&self.products, name).ok_or_else(|| format!("product '{name}' is not in the settings"))
     }
+
+    pub fn proxy(&self, number: u32) -> Result<u32, String> {
+        let fits = number < self.proxies;
+        fits.then_some(number).ok_or_else(|| format!("proxy {number} is beyond the number in the settings"))
+    }
 }
 
 fn place(names: &[String], name: &str) -> Option<u32> {
@@ -30,6 +42,8 @@
 
 /// Connections at our address, whatever the papers allow.
 const MOST_CONNECTIONS: u64 = 512;
+/// Proxy numbers of papers that do not say how many there are.
+const MOST_PROXIES: u32 = 65_536;
 
 pub struct Papers {
     pub name: String,
@@ -60,7 +74,8 @@
     pub fn read(value: &Value, env: impl Fn(&str) -> Option<String>) -> Result<Self, Vec<String>> {
         let f = Fields::named(value, "papers").map_err(|e| vec![e])?;
         let mut faults = Faults::default();
-        for (field, var) in [("name", "GW_NAME"), ("listen", "GW_LISTEN"), ("discovery", "GW_DISCOVERY")] {
+        // Not so the list's address: a file that was replaced moves it, and the environment never changes.
+        for (field, var) in [("name", "GW_NAME"), ("listen", "GW_LISTEN")] {
             if let (Ok(told), Some(other)) = (f.text(field), env(var)) {
                 faults.unless(told == other, || {
                     format!("papers: field '{field}' is '{told}' but {var} says '{other}'")
@@ -81,6 +96,10 @@
         let names = Names {
             zones: figures.at("zones").rows().map(|zone| zone.word().to_owned()).collect(),
             products: figures.at("classes").rows().map(|row| row.at("name").word().to_owned()).collect(),
+            proxies: match figures.at("familyInfo").at("proxyCount").count() {
+                0 => MOST_PROXIES,
+                told => told,
+            },
         };
         // On sockets the list answers only when it is asked, whatever the settings say of it.
         let charter = Charter { list_on_request: true, ..charter(&figures) };
@@ -109,6 +128,51 @@
             _ => Err(faults.0),
         }
     }
+
+    /// Newer papers for a supervisor that runs on these; a fault for each thing that only a start can change.
+    fn followed_by(&self, newer: Papers) -> Result<Papers, Vec<String>> {
+        let mut faults = Faults::default();
+        for (what, stands) in [
+            ("name", self.name == newer.name),
+            ("listen", self.listen == newer.listen),
+            ("settings", self.names == newer.names && self.charter == newer.charter),
+        ] {
+            faults
+                .unless(stands, || format!("papers: field '{what}' can't change while the supervisor runs"));
+        }
+        if faults.0.is_empty() {
+            Ok(newer)
+        } else {
+            Err(faults.0)
+        }
+    }
+}
+
+/// Reads the file again at each SIGHUP, for ever. Several that come close together are one; whatever stands in
+/// the file after the last is what holds. A faulty file leaves the old papers in force.
+pub async fn follow(
+    mut hangups: Signal,
+    papers: Rc<Papers>,
+    list: watch::Sender<SocketAddr>,
+    relay: watch::Sender<SocketAddr>,
+    log: Logger,
+) {
+    while hangups.recv().await.is_some() {
+        let newer = Papers::from_file(None, |name| std::env::var(name).ok());
+        match newer.and_then(|newer| papers.followed_by(newer)) {
+            Ok(newer) => {
+                let moved = [(&list, newer.list), (&relay, newer.relay)]
+                    .map(|(peer, to)| peer.send_if_modified(|at| std::mem::replace(at, to) != to));
+                info!(log, "papers read again"; "list" => %newer.list, "list_moved" => moved[0],
+                    "relay" => %newer.relay, "relay_moved" => moved[1]);
+            }
+            Err(faults) => {
+                faults
+                    .iter()
+                    .for_each(|fault| warn!(log, "papers refused, the old ones hold"; "why" => fault));
+            }
+        }
+    }
 }
 
 fn address(field: &str, text: Result<&str, String>) -> Result<SocketAddr, String> {
--- a/supervisor/src/planner.rs
+++ b/supervisor/src/planner.rs
@@ -10,6 +10,7 @@
 use otterwinch_hostkit::{caught, Checks};
 use serde_json::json;
 use slog::{error, info, warn, Logger};
+use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
@@ -22,7 +23,7 @@
 
 /// What the tasks of the peers speak to. Where the planner is behind, they wait.
 #[derive(Clone)]
-pub struct Ear(mpsc::Sender<Told>);
+pub struct Ear(pub mpsc::Sender<Told>);
 
 impl Ear {
     pub async fn tell(&self, told: impl FnOnce(&mut Rules<Desk>, Moment) + 'static) {
@@ -50,11 +51,13 @@
 
 pub struct Planner {
     rules: Rules<Desk>,
-    papers: Papers,
+    papers: Rc<Papers>,
     clock: Clock,
     orders: Orders,
     /// A call came to nothing: what is in hand goes again when the rules say so, and nothing before it.
     lost: bool,
+    /// The relay said of the last call that it is none.
+    unfit: bool,
     told: mpsc::Receiver<Told>,
     page: watch::Sender<String>,
     log: Logger,
@@ -65,7 +68,7 @@
 }
 
 impl Planner {
-    pub fn open(papers: Papers, orders: Orders, log: Logger) -> (Self, Ear, watch::Receiver<String>) {
+    pub fn open(papers: Rc<Papers>, orders: Orders, log: Logger) -> (Self, Ear, watch::Receiver<String>) {
         let clock = Clock::start();
         let now = clock.now();
         let desk = Desk::new(Checks::new(&papers.charter), papers.names.clone(), now, log.clone());
@@ -82,6 +85,7 @@
             clock,
             orders,
             lost,
+            unfit: false,
             told,
             page,
             log,
@@ -145,6 +149,9 @@
             let fate = self.orders.deliver().await;
             let now = self.clock.now();
             self.rules.host().now = now;
+            if !matches!(fate, Fate::Lost(_)) {
+                self.unfit = false;
+            }
             match fate {
                 Fate::Taken => {
                     if std::mem::take(&mut self.lost) {
@@ -165,8 +172,11 @@
                     }
                     self.rules.host().again = self.lost;
                 }
-                // A call that the relay can't read would stop all that follows, for ever.
-                Fate::Lost(failed) if failed.came == Came::Unfit => {
+                // A call that the relay can't read would stop all that follows, for ever. Said once it may be
+                // the answer that is spoilt, and the call goes again as it was.
+                Fate::Lost(failed)
+                    if failed.came == Came::Unfit && std::mem::replace(&mut self.unfit, true) =>
+                {
                     error!(self.log, "the relay can't use our orders"; "why" => %failed);
                     self.open_anew(now);
                     return;
@@ -202,7 +212,7 @@
         let mut desk = std::mem::replace(self.rules.host(), new);
         desk.cleared();
         self.orders.in_hand.clear();
-        (self.lost, self.opened) = (false, self.opened + 1);
+        (self.lost, self.unfit, self.opened) = (false, false, self.opened + 1);
         let (listed, gone) = desk.stands();
         let joined = desk.joined.clone();
         let seed = self.papers.seed.wrapping_add(self.opened);
@@ -240,7 +250,6 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::client::Peer;
     use otterwinch::host::{Listing, Standing};
     use slog::{o, Discard};
 
@@ -250,8 +259,8 @@
             "known": {"seq": 4, "whole": true, "hosts": [{"host": "a", "site": "north", "health": "active"}]},
             "settings": {"zones": ["north"], "classes": [{"name": "quote", "promiseUs": 1_000_000}]}});
         let papers = Papers::read(&papers, |_| None).unwrap();
-        let orders = Orders::to(Peer::at(papers.relay));
-        Planner::open(papers, orders, Logger::root(Discard, o!())).0
+        let orders = Orders::to(watch::channel(papers.relay).1);
+        Planner::open(Rc::new(papers), orders, Logger::root(Discard, o!())).0
     }
 
     #[test]
