--- a/hostkit/src/checks.rs
+++ b/hostkit/src/checks.rs
@@ -36,6 +36,11 @@
         });
     }
 
+    /// The rules will not name it any more: ids are new all day long.
+    pub fn forget(&mut self, id: &Id) {
+        self.known.remove(id);
+    }
+
     pub fn joined(&mut self, proxy: u32, is: bool) {
         set(&mut self.joined, proxy, is);
     }
--- a/src/host.rs
+++ b/src/host.rs
@@ -46,6 +46,8 @@
     fn bind(&mut self, proxy: u32, tbl: u32);
     /// Bars all joined proxies from a server, whatever tables they hold, or lets them back.
     fn withdraw(&mut self, server: &Id, out: bool);
+    /// A server has long been gone: no order names it any more unless the list does so anew.
+    fn forget(&mut self, server: &Id);
     /// What part of some products a table lets in, and when its proxies try again.
     fn level(&mut self, tbl: u32, products: Products, admitted: f64, retry: Retry);
     /// Asks each proxy that this moment's orders reach to tell when they have come.
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -39,8 +39,9 @@
 }
 
 impl Ledger {
-    /// Replies kept for an answer; an older one that never came is covered by any later one.
-    const KEPT: usize = 512;
+    /// Replies kept for an answer; an older one that never came is covered by any later one. Each holds a row a
+    /// proxy: with 400 of them a long day of unmarked messages would fill megabytes.
+    const KEPT: usize = 128;
 
     pub fn new(pace: f64) -> Self {
         Ledger { pace, ..Ledger::default() }
@@ -54,6 +55,10 @@
     /// Lines for a proxy. Those of one moment make one message with one head.
     pub fn note(&mut self, now: Moment, proxy: u32, lines: f64, head: f64) {
         if self.replies.back().is_none_or(|reply| reply.at != now) {
+            // Where nothing can wait any more, no answer can tell anything new.
+            if self.waiting(now) <= 0.0 {
+                self.replies.clear();
+            }
             let (before, lines) = (self.ordered, BTreeMap::new());
             self.replies.push_back(Reply { at: now, number: 0, before, lines });
             self.replies.drain(..self.replies.len().saturating_sub(Self::KEPT));
@@ -106,6 +111,12 @@
         (sent.len(), sent.back().copied())
     }
 
+    /// How much is remembered: rows of proxies, and times of messages.
+    pub fn kept(&self) -> usize {
+        self.replies.iter().map(|reply| reply.lines.len()).sum::<usize>()
+            + self.sent.values().map(VecDeque::len).sum::<usize>()
+    }
+
     pub fn left(&mut self, proxy: u32) {
         self.sent.remove(&proxy);
     }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -3,9 +3,8 @@
 //! the `Host` (`host.rs`) given to `open`, and read `charter.rs`. A moment's orders travel together.
 //!
 //! The ordinary path is that of docs/design.md: few shared tables of the listed servers at listed weight,
-//! looked at every turn, only changes sent. `turn` is the one place where they go out. The guards: rule 1
-//! `wanted`, `bind_waiting`, rule 2 `RETRY`, `publish_slices`, `orders_lost`, rule 3 `leaving` in `publish`,
-//! rule 4 `warmth`, `eased`, rule 5 `room`.
+//! looked at every `turn`, only changes sent. The guards: rule 1 `wanted`, `bind_waiting`, rule 2 `RETRY`,
+//! `publish_slices`, `orders_lost`, rule 3 `leaving` in `publish`, rule 4 `warmth`, `eased`, rule 5 `room`.
 
 use crate::chance::Chance;
 use crate::charter::{Admission, Charter};
@@ -30,8 +29,8 @@
 const SUBSCRIBE_AGAIN: Span = Span::from_us(700_000);
 const LOOK_AGAIN: Span = Span::from_us(50_000);
 
-/// New servers start at `RAMP_FROM` of their weight; a warming line is sent when it is off by `STEP`. The
-/// ramp stays under an even warm-up: a storm finds a cold server with any spare it was given.
+/// New servers start at `RAMP_FROM` of their weight, under an even warm-up: a storm finds any spare that a
+/// cold server was given. A warming line is sent when it is off by `STEP`.
 const RAMP_FROM: f64 = 0.1;
 const RAMP_BEND: f64 = 1.3;
 const STEP: f64 = 1.25;
@@ -41,16 +40,19 @@
 const YOUNG: f64 = 0.35;
 const PEAK_KEPT: f64 = 0.99;
 
+/// Longer than a proxy is cut off with its tables, and than any grace.
+const FORGOTTEN: Span = Span::from_us(60_000_000);
+
 /// Where crossing zones costs: the most that stays at home, and how far off the rest may stand.
 const STAY: f64 = 0.9;
 const FAR_STEP: f64 = 1.5;
 
-/// Rule 2: proxies repeat nothing on our orders, so no product's window or group can be missed. What a full
-/// server turns away came back at the next one, and a zone that had just become full drowned in it.
+/// Rule 2: proxies repeat nothing on our orders, so no product's window or group can be missed, and a zone
+/// that has just become full does not drown in what its servers turned away.
 const RETRY: Retry = Retry::Never;
 
-/// Parts of the waiting lines and messages that may be used, in all and by what can wait; messages kept back
-/// for drains; the part of its stated pace that a channel is trusted with until proxies say what has come.
+/// Parts of the waiting lines and messages for all and for what can wait; messages kept back for drains; the
+/// part of its stated pace that a channel is trusted with until proxies say what has come.
 const MOST_LINES: f64 = 0.9;
 const ORDINARY_LINES: f64 = 0.08;
 const ORDINARY_MESSAGES: f64 = 0.5;
@@ -113,6 +115,7 @@
             host.follow_list();
         }
         host.wake(GATHER, TURN);
+        let all = if charter.admission == Admission::PerSecond { 1e6 } else { 1.0 };
         Rules {
             host,
             chance: Chance::new(seed),
@@ -121,10 +124,7 @@
             proxies: BTreeMap::new(),
             usual: BTreeMap::new(),
             slices: BTreeMap::new(),
-            levels: vec![
-                if charter.admission == Admission::PerSecond { 1e6 } else { 1.0 };
-                charter.products.len()
-            ],
+            levels: vec![all; charter.products.len()],
             pulse: Pulse { asked: vec![0.0; charter.products.len()], ..Pulse::default() },
             ledger: Ledger::new(charter.channel_rate * PACE_TRUSTED),
             held: Held { gathered: now, ..Held::default() },
@@ -145,7 +145,8 @@
 
     pub fn list_changed(&mut self, now: Moment, listings: &[Listing]) {
         for l in listings {
-            let server = self.servers.entry(l.id.clone()).or_default();
+            let new = || Server { left: now, ..Server::default() };
+            let server = self.servers.entry(l.id.clone()).or_insert_with(new);
             if l.started > server.started {
                 server.move_to(0, now);
                 (server.started, server.strikes) = (l.started, 0);
@@ -184,7 +185,6 @@
         self.look();
     }
 
-    /// Something waits for room or for its time.
     fn look(&mut self) {
         if self.held.wakes.insert(LOOK) {
             self.host.wake(LOOK_AGAIN, LOOK);
@@ -213,7 +213,6 @@
         self.pulse.asked.get_mut(product as usize).into_iter().for_each(|asked| *asked += txns);
     }
 
-    /// A marked message came to a proxy.
     pub fn applied(&mut self, now: Moment, number: u32, proxy: u32) {
         self.ledger.came(now, number, proxy);
     }
@@ -231,6 +230,7 @@
                 self.pulse.halve();
                 (self.pulse.tries, self.pulse.answered) = (self.pulse.tries / 2.0, self.pulse.answered / 2.0);
                 self.pulse.peak = (self.pulse.peak * PEAK_KEPT).max(self.ready_weight());
+                self.forget(now);
                 self.host.wake(GATHER, TURN);
             }
             _ => {}
@@ -238,6 +238,21 @@
         self.turn(now);
     }
 
+    /// A service that replaces its servers all day would fill every list with the dead, and each join pay for
+    /// barring all of them. What is long gone and in no table is let back in, which reaches nobody by then, so
+    /// that its id may return as any new one. It harms a proxy that comes back with older tables, until bound.
+    fn forget(&mut self, now: Moment) {
+        let held = |id: &Id| self.tbls.values().any(|t| t.lines.contains_key(id));
+        let dead = |s: &Server| s.standing == Standing::Gone && now - s.left > FORGOTTEN;
+        let dead = self.servers.iter().filter(|(id, s)| dead(s) && !self.held.unanswered && !held(id));
+        for id in dead.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
+            if self.servers.remove(&id).is_some_and(|s| s.out) {
+                self.host.withdraw(&id, false);
+            }
+            self.host.forget(&id);
+        }
+    }
+
     /// Rule 4: no server gets more of its weight than the slowest warm-up allows at its age, counted from its
     /// start and not from when the list told of it.
     fn warmth(&self, now: Moment, server: &Server) -> f64 {
@@ -255,9 +270,8 @@
         self.ready().map(part).collect()
     }
 
-    /// What a table should hold: every listed server, at listed weight but for the exceptions; with its
-    /// weight, whether it is warm. Rule 1: no exception takes a warm server at home out; far ones stay out
-    /// only where all could not be taken out again in time.
+    /// What a table should hold: every listed server, at listed weight but for the exceptions, and whether it
+    /// is warm. Rule 1: none takes a warm server at home out; far ones only where all could not leave in time.
     fn wanted(&mut self, now: Moment, number: u32) -> BTreeMap<Id, (f64, bool)> {
         let mut parts = self.parts(now);
         let Some(tbl) = self.tbls.get(&number) else { return BTreeMap::new() };
@@ -280,9 +294,8 @@
         self.eased(parts)
     }
 
-    /// Servers of other zones get this part of their weight: what carries a tenth of the zone's usual txns,
-    /// or all that its own servers' part of the fleet does not cover. Cold ones count short, so that a zone
-    /// of new servers leans on the others; those in the table stand for those left out.
+    /// The part of their weight that servers of other zones get: what carries a tenth of the zone's txns, or
+    /// all that its own servers do not cover. Cold ones count short; those in the table stand for the others.
     fn afar(&self, home: u32, parts: &[Part], left_out: &[Part]) -> f64 {
         let mut rates = BTreeMap::<u32, f64>::new();
         self.usual.values().for_each(|(zone, rate)| *rates.entry(*zone).or_default() += rate);
@@ -303,25 +316,23 @@
 
     /// Rule 4 where a ramp alone does not keep it.
     fn eased(&self, parts: Vec<Part>) -> BTreeMap<Id, (f64, bool)> {
-        let sum = |is_warm: bool| -> f64 {
-            parts.iter().filter(|p| (p.warmth >= 1.0) == is_warm).map(|p| p.weight * p.warmth).sum()
-        };
+        let sum =
+            |is| parts.iter().filter(|p| (p.warmth >= 1.0) == is).map(|p| p.weight * p.warmth).sum::<f64>();
         let (cold, warm) = (sum(false), sum(true));
-        // A fleet that shrank, or that turns tries away and sees them again, brings a cold server more than
-        // its weight says: it is cut by as much, but never so far that the warm ones fall in its place.
+        // A fleet that shrank or turns tries away brings a cold server more than its weight says: it is cut by
+        // as much, but never so far that the warm ones fall in its place.
         let answers = self.pulse.answered.max(1.0) / self.pulse.tries.max(1.0);
         let crowded = (self.ready_weight() / self.pulse.peak.max(1e-9) * answers).clamp(0.05, 1.0);
         let cut = crowded.max(((cold + warm) / WARM_BEARS - warm) / cold.max(1e-9)).min(1.0);
-        // Proxies that shun by themselves leave a failing fleet for whatever they have not tried yet, and no
-        // weight is small enough: while it struggles the youngest stay out. It harms by holding them back.
+        // Proxies that shun leave a failing fleet for whatever they have not tried yet: the youngest stay out.
         let rush = self.charter.shuns_after > 0 && warm > 0.0 && self.pulse.struggling;
         let kept = parts.into_iter().filter(|p| p.warmth >= YOUNG || !rush);
         let ease = |p: &Part| if p.warmth < 1.0 { p.warmth * cut } else { 1.0 };
         kept.map(|p| (p.id.clone(), (p.weight * ease(&p), p.warmth >= 1.0))).collect()
     }
 
-    /// What differs from what stands, and whether it can't wait: servers that left, a table's first usable
-    /// lines, a known server that came back cold. The widest gaps first; slight ones are not worth their way.
+    /// What differs from what stands, widest gaps first; slight ones are not worth their way. What can't wait:
+    /// servers that left, a table's first usable lines, a known server that came back cold.
     fn changes(&mut self, now: Moment, number: u32, users: f64) -> Vec<Change> {
         let wanted = self.wanted(now, number);
         if wanted.is_empty() && self.carried(now, number) {
@@ -360,12 +371,11 @@
         carried.then(|| self.look()).is_some()
     }
 
-    /// A moment's orders came to nothing, or nobody knows. They go again as they were, and until they have
-    /// been taken nothing else goes: what piled up behind them would come in one burst.
+    /// A moment's orders came to nothing, or nobody knows. They go again as they were, and nothing before they
+    /// are taken: what piled up behind them would come in one burst.
     pub fn orders_lost(&mut self, now: Moment, unsure: bool) {
         self.held.unanswered = true;
-        // Rule 5: if they were carried out after all, their lines wait twice, and after many lost answers the
-        // queue would seem full. A mark of the repeat's own tells when it has come.
+        // Rule 5: were they carried out, their lines wait twice; a mark of the repeat's own tells when it came.
         let (lines, number) = if unsure { self.ledger.again(now) } else { (0.0, None) };
         number.into_iter().for_each(|number| self.host.mark(number));
         self.host.wake(LOOK_AGAIN + Span::secs(lines / self.charter.channel_rate.max(1.0)), REPEAT);
@@ -377,7 +387,7 @@
         }
     }
 
-    /// A bind was not taken, most often since the proxy has just left and its leaving is not known here yet.
+    /// A bind was not taken, most often since the proxy has just left.
     pub fn bind_declined(&mut self, now: Moment, proxy: u32) {
         self.proxies.get_mut(&proxy).into_iter().for_each(|p| (p.bound, p.joined) = (false, now));
         self.look();
@@ -395,10 +405,10 @@
             0 => {}
             _ => return self.publish_slices(now),
         }
-        // Standing tables are thinned by all that leaves: before one is bare its proxy must be bound.
+        // Standing tables are thinned by all that leaves: before one is bare its proxy must be bound. Else
+        // binds can wait longest: each takes what a line to all would.
         let lost = self.servers.values().filter(|s| !s.ready()).count() as f64;
         let thin = lost > self.servers.len() as f64 * THIN && self.proxies.values().any(|p| !p.bound);
-        // Else binds can wait longest: each takes what a line to all would.
         let late = self.publish(now, now >= self.held.gathered && !thin);
         if late {
             self.look();
@@ -415,7 +425,7 @@
     fn publish(&mut self, now: Moment, due: bool) -> bool {
         let (mut changed, mut hasty) = (Vec::new(), BTreeSet::new());
         for number in self.tbls.keys().copied().collect::<Vec<_>>() {
-            let users = self.users(number);
+            let users = self.proxies.values().filter(|p| p.bound && p.tbl == number).count() as f64;
             let changes = self.changes(now, number, users);
             if users > 0.0 {
                 // Who left first goes first.
@@ -474,7 +484,6 @@
         late || n < leaving.len()
     }
 
-    /// The largest piece of so many that fits, coarsely.
     fn piece(whole: usize, room: f64, cost: impl Fn(usize) -> f64) -> usize {
         (1..=whole).rev().step_by(1 + whole / 8).find(|n| cost(*n) <= room).unwrap_or(0)
     }
@@ -532,13 +541,9 @@
         }
     }
 
-    fn users(&self, number: u32) -> f64 {
-        self.proxies.values().filter(|p| p.bound && p.tbl == number).count() as f64
-    }
-
-    /// A bind goes out once its table holds a usable server and the channel has room; what the proxy has
-    /// stands meanwhile. One never served waits no longer than a budget. Those with the least to go by come
-    /// first, then those with most traffic. What a table keeps at home hangs on all who join in a moment.
+    /// A bind goes out once its table holds a usable server and the channel has room; one never served waits
+    /// no longer than a budget. Those with the least to go by come first, then those with most traffic. They
+    /// are gathered: what a table keeps at home hangs on all who join in a moment.
     fn bind_waiting(&mut self, now: Moment) {
         let (most, head) = (self.lines_may_wait(false), self.charter.message_head);
         let waits = self.proxies.iter().filter(|(_, p)| !p.bound);
@@ -590,8 +595,8 @@
         }
     }
 
-    /// The lines that fit for some proxies in all, heads included. What can't wait goes at once a few times,
-    /// then at a pace that the limit of messages bears for ever.
+    /// The lines that fit for some proxies in all. What can't wait goes at once a few times, then at a pace that
+    /// the limit of messages bears for ever.
     fn room(&mut self, now: Moment, urgent: bool, which: impl Fn(&Proxy) -> bool) -> f64 {
         let (over, most) = (self.charter.messages_over, self.charter.messages_most as usize);
         let pace = over * (1.0 / most.saturating_sub(BURST).max(1) as f64);
@@ -613,10 +618,9 @@
         (self.lines_may_wait(urgent) - waiting).max(if waiting < 1.0 { least } else { 0.0 })
     }
 
-    /// A server that hurts more than its peers goes down a rung, whatever the cause: slow, failing, hung, cut
-    /// off, or listed at more than it can do. It harms where its peers can't carry its part, so only some of
-    /// the fleet is held back, and none while the middle one hurts too: in a jam a move only moves the jam.
-    /// Each rung is let go by itself after a rest, longer with each strike.
+    /// A server that hurts more than its peers goes down a rung, whatever the cause. It harms where its peers
+    /// can't carry its part, so only some of the fleet is held back, and none while the middle one hurts too:
+    /// in a jam a move only moves the jam. Each rung is let go after a rest, longer with each strike.
     fn judge(&mut self, now: Moment) {
         let mut fleet = Histogram::<5>::default();
         self.ready().for_each(|(_, s)| fleet.merge(&s.tally));
@@ -651,8 +655,7 @@
     }
 
     /// When most of the fleet hurts at once no table helps: no more is let in than it answers, products of
-    /// most revenue first, and the rest let back step by step. It harms if the reports lie, so nothing falls
-    /// under a floor.
+    /// most revenue first, the rest let back step by step. Nothing falls under a floor, lest reports lie.
     fn shed(&mut self, now: Moment) {
         let pulse = &mut self.pulse;
         let over = pulse.over.as_secs().max(0.1);
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -437,6 +437,32 @@
     assert_eq!(rules.host.weight(0, "b"), Some(2.0));
 }
 
+#[test]
+fn a_server_long_gone_is_forgotten_and_served_again_when_its_id_returns() {
+    let mut rules = running(charter(), &["a", "b"], 1);
+    rules.list_changed(at(2.0), &[listing("a", 0, Gone, None)]);
+    rules.woke(at(61.0), TURN);
+    assert!(rules.servers.contains_key("a"));
+    rules.woke(at(63.0), TURN);
+    assert!(!rules.servers.contains_key("a") && said(&mut rules).contains("withdraw a false\nforget a"));
+    rules.list_changed(at(64.0), &[listing("a", 0, Ready, None)]);
+    rules.woke(at(65.0), TURN);
+    assert_eq!(rules.host.weight(0, "a"), Some(2.0));
+}
+
+#[test]
+fn a_fleet_replaced_for_hours_leaves_nothing_behind() {
+    let mut rules = running(charter(), &["s0"], 2);
+    let id = |n: u32| format!("s{n}");
+    for n in 1..3_000_u32 {
+        let now = at(f64::from(n) * 4.0);
+        rules.list_changed(now, &[listing(&id(n - 1), 0, Gone, None), listing(&id(n), 0, Ready, None)]);
+        rules.woke(now + Span::secs(2.0), TURN);
+    }
+    assert!(rules.servers.len() < 20 && rules.tbls[&0].lines.len() == 1);
+    assert!(rules.ledger.kept() < 200, "{}", rules.ledger.kept());
+}
+
 #[test]
 fn a_slice_whose_server_left_gets_another() {
     let mut rules = running(Charter { slices: 2, ..charter() }, &["a", "b"], 0);
--- a/src/testing.rs
+++ b/src/testing.rs
@@ -31,6 +31,9 @@
     fn withdraw(&mut self, server: &Id, out: bool) {
         self.said.push(format!("withdraw {server} {out}"));
     }
+    fn forget(&mut self, server: &Id) {
+        self.said.push(format!("forget {server}"));
+    }
     fn level(&mut self, tbl: u32, products: Products, admitted: f64, retry: Retry) {
         self.said.push(format!("level {tbl} {products} {admitted:.2} {retry:?}"));
     }
--- a/supervisor/src/desk.rs
+++ b/supervisor/src/desk.rs
@@ -37,7 +37,7 @@
     pub now: Moment,
     wakes: BinaryHeap<Reverse<(Moment, u64, u64)>>,
     woken: u64,
-    /// Whatever was ever listed, as it was listed last.
+    /// Whatever was listed and is not forgotten, as it was listed last.
     listed: BTreeMap<Id, Listing>,
     /// Servers that joined proxies are barred from by our order.
     withdrawn: BTreeSet<Id>,
@@ -152,6 +152,12 @@
         self.say(self.checks.withdrawal(server), order, About::Other);
     }
 
+    fn forget(&mut self, server: &Id) {
+        self.checks.forget(server);
+        self.listed.remove(server);
+        self.withdrawn.remove(server);
+    }
+
     fn level(&mut self, tbl: u32, products: Products, admitted: f64, retry: Retry) {
         let (routes, policy) = (self.routes(products), retry as u8);
         let order =
--- a/wirehost/src/desk.rs
+++ b/wirehost/src/desk.rs
@@ -47,6 +47,10 @@
         self.say(self.checks.withdrawal(server), "WITHDRAW", json!({"server": &**server, "set": out}));
     }
 
+    fn forget(&mut self, server: &Id) {
+        self.checks.forget(server);
+    }
+
     fn level(&mut self, tbl: u32, products: Products, admitted: f64, retry: Retry) {
         let how = retry as u8;
         let fields = json!({"mapId": tbl, "forClasses": products, "allowance": admitted, "how": how});
