--- a/src/rules.rs
+++ b/src/rules.rs
@@ -253,8 +253,7 @@
         }
     }
 
-    /// Rule 4: no server gets more of its weight than the slowest warm-up allows at its age, counted from its
-    /// start and not from when the list told of it.
+    /// Rule 4: no more of its weight than the slowest warm-up allows at its age, however late the list told it.
     fn warmth(&self, now: Moment, server: &Server) -> f64 {
         let cold_for = self.charter.cold_for;
         let Some(age) = server.started.map(|at| now - at).filter(|age| *age < cold_for) else { return 1.0 };
@@ -300,7 +299,7 @@
         let mut rates = BTreeMap::<u32, f64>::new();
         self.usual.values().for_each(|(zone, rate)| *rates.entry(*zone).or_default() += rate);
         let weight = |parts: &[Part], which: &dyn Fn(u32) -> bool| -> f64 {
-            parts.iter().filter(|p| which(p.zone)).map(|p| p.weight * p.warmth * p.warmth).sum()
+            parts.iter().filter(|p| which(p.zone)).map(|p| p.bears() * p.warmth).sum()
         };
         let (here, there) = (weight(parts, &|zone| zone == home), weight(parts, &|zone| zone != home));
         let seen = |zone| rates.contains_key(&zone);
@@ -316,8 +315,7 @@
 
     /// Rule 4 where a ramp alone does not keep it.
     fn eased(&self, parts: Vec<Part>) -> BTreeMap<Id, (f64, bool)> {
-        let sum =
-            |is| parts.iter().filter(|p| (p.warmth >= 1.0) == is).map(|p| p.weight * p.warmth).sum::<f64>();
+        let sum = |is| parts.iter().filter(|p| (p.warmth >= 1.0) == is).map(Part::bears).sum::<f64>();
         let (cold, warm) = (sum(false), sum(true));
         // A fleet that shrank or turns tries away brings a cold server more than its weight says: it is cut by
         // as much, but never so far that the warm ones fall in its place.
--- a/src/state.rs
+++ b/src/state.rs
@@ -64,6 +64,11 @@
 }
 
 impl Part {
+    /// What it can do by now.
+    pub fn bears(&self) -> f64 {
+        self.weight * self.warmth
+    }
+
     /// A table's own order of the servers, so that what one can't hold another does.
     pub fn rank(&self, tbl: u32) -> u32 {
         self.id.bytes().fold(tbl, |h, b| (h.rotate_left(5) ^ u32::from(b)).wrapping_mul(0x0100_0193))
