--- a/src/rules.rs
+++ b/src/rules.rs
@@ -74,9 +74,10 @@
 /// Outcomes by band: answered within 0.4, 0.6, 1 and more of the SLA time, voided; how much each hurts.
 const BANDS: [f64; 3] = [0.4, 0.6, 1.0];
 const HURT: [f64; 5] = [0.0, 0.0, 0.3, 1.0, 1.0];
-/// What a troubled server keeps of its weight, and how far above the fleet's hurt it must stand.
+/// What a troubled server keeps of its weight; tries that tell, or their hurt; how far it must stand out.
 const RUNGS: [f64; 6] = [1.0, 0.75, 0.55, 0.35, 0.15, 0.04];
 const ENOUGH: f64 = 6.0;
+const SURE: f64 = 2.0;
 const STANDS_OUT: f64 = 0.15;
 const AT_PAR: f64 = 0.08;
 const HOPELESS: f64 = 0.7;
@@ -238,9 +239,8 @@
         self.turn(now);
     }
 
-    /// A service that replaces its servers all day would fill every list with the dead, and each join pay for
-    /// barring all of them. What is long gone and in no table is let back in, which reaches nobody by then, so
-    /// that its id may return as any new one. It harms a proxy that comes back with older tables, until bound.
+    /// A service that replaces its servers all day would make each join pay for barring all the dead. What is
+    /// long gone and in no table is let back in, so that its id may return as a new one, and forgotten.
     fn forget(&mut self, now: Moment) {
         let held = |id: &Id| self.tbls.values().any(|t| t.lines.contains_key(id));
         let dead = |s: &Server| s.standing == Standing::Gone && now - s.left > FORGOTTEN;
@@ -565,7 +565,6 @@
         }
     }
 
-    /// The lines that can leave the module at once and still come within the grace.
     fn in_grace(&self) -> f64 {
         self.charter.carried_in_grace().min(self.charter.most_waiting * MOST_LINES) * FOR_LEAVING
     }
@@ -578,7 +577,7 @@
         (each / LEAVES_AT_ONCE).max(if bounded { 1.0 } else { f64::INFINITY }) as usize
     }
 
-    /// Lines that may wait. What can wait leaves room for a part of the fleet to leave, within the grace.
+    /// What can wait leaves room for a part of the fleet to leave, within the grace.
     fn lines_may_wait(&self, urgent: bool) -> f64 {
         let most = self.charter.most_waiting * MOST_LINES;
         let lines = |p: &Proxy| if p.bound { self.tbls[&p.tbl].lines.len() as f64 } else { 0.0 };
@@ -616,18 +615,19 @@
         (self.lines_may_wait(urgent) - waiting).max(if waiting < 1.0 { least } else { 0.0 })
     }
 
-    /// A server that hurts more than its peers goes down a rung, whatever the cause. It harms where its peers
-    /// can't carry its part, so only some of the fleet is held back, and none while the middle one hurts too:
-    /// in a jam a move only moves the jam. Each rung is let go after a rest, longer with each strike.
+    /// A server that hurts more than its peers goes down a rung, be its tries many or few and bad: a slow one,
+    /// or one that many supervisors share, tells little. Only some of the fleet is held back, and none while
+    /// the middle one hurts too: in a jam a move only moves the jam. Rests grow with each strike.
     fn judge(&mut self, now: Moment) {
         let mut fleet = Histogram::<5>::default();
         self.ready().for_each(|(_, s)| fleet.merge(&s.tally));
         let par = fleet.mean_of(HURT).unwrap_or(0.0);
-        let known = self.ready().filter(|(_, s)| s.tally.total() >= ENOUGH);
-        let mut hurts: Vec<(f64, Id)> =
-            known.map(|(id, s)| (s.tally.mean_of(HURT).unwrap_or(0.0), id.clone())).collect();
+        let tells = |s: &Server| s.tally.total() >= ENOUGH || s.tally.sum_of(HURT) >= SURE;
+        let hurt = |(id, s): (&Id, &Server)| (s.tally.mean_of(HURT).unwrap_or(0.0), id.clone());
+        let mut hurts: Vec<(f64, Id)> = self.ready().filter(|(_, s)| tells(s)).map(hurt).collect();
         hurts.sort_by(|a, b| b.0.total_cmp(&a.0));
-        self.pulse.middle = hurts.get(hurts.len() / 2).map_or(0.0, |h| h.0);
+        let known = hurts.iter().filter(|h| self.servers[&h.1].tally.total() >= ENOUGH).map(|h| h.0);
+        self.pulse.middle = known.clone().nth(known.clone().count() / 2).unwrap_or(0.0);
         let mut held_back: f64 = self.ready().map(|(_, s)| s.weight * (1.0 - RUNGS[s.rung])).sum();
         let most = self.ready_weight() * MOST_HELD_BACK;
         for (hurt, id) in hurts.iter().filter(|h| h.0 > par + STANDS_OUT && self.pulse.middle <= HURTING.0) {
@@ -643,7 +643,7 @@
             }
         }
         for server in self.servers.values_mut().filter(|s| s.ready() && s.rung > 0) {
-            let at_par = server.tally.total() < ENOUGH || server.tally.mean_of(HURT) <= Some(par + AT_PAR);
+            let at_par = server.tally.mean_of(HURT) <= Some(par + AT_PAR);
             // Half a turn more: else it hangs on how late a timer is whether a rest lasts a turn longer.
             if at_par && now - server.judged > REST * f64::from(server.strikes) + GATHER * 0.5 {
                 server.move_to(server.rung - 1, now);
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -349,6 +349,23 @@
     assert_eq!(rules.servers.values().map(|s| s.rung).collect::<Vec<_>>(), [0, 0, 1, 0]);
 }
 
+#[test]
+fn few_tries_tell_enough_where_all_of_them_hurt_and_hold_a_server_back_until_they_no_longer_do() {
+    let mut rules = running(charter(), &["a", "b", "c", "d"], 1);
+    let met = |rules: &mut Rules<_>, now, voided| {
+        ["b", "c", "d"].iter().for_each(|id| rules.met(now, id, 9.0, 0.0, Span::ZERO, Span::ZERO));
+        rules.met(now, "a", 2.0, voided, Span::ZERO, Span::ZERO);
+    };
+    met(&mut rules, at(1.0), 2.0);
+    rules.judge(at(1.0));
+    assert_eq!(rules.servers["a"].rung, 3);
+    met(&mut rules, at(9.0), 1.0);
+    rules.judge(at(9.0));
+    assert_eq!(rules.servers["a"].rung, 3, "its rest is over and it still hurts");
+    // Only those of whom enough is known are counted when it is asked whether most of the fleet hurts.
+    assert_eq!(rules.pulse.middle, 0.0);
+}
+
 #[test]
 fn only_part_of_the_fleet_is_held_back() {
     let mut rules = running(charter(), &["a", "b", "c", "d", "e", "f", "g"], 1);
