The page counts strangers, dropped reports and reloads; a list answer is bounded by our memory

A list answer of 4 MiB takes ten times as much once read, more than the 32 MB of a small supervisor: now a 32nd of the papers' memory_mb, 4 MiB at most. /state and the summary tell how many reports were dropped, connections ended and strangers turned away, and how often papers were read again or refused.

--- a/supervisor/src/collectors.rs
+++ b/supervisor/src/collectors.rs
@@ -103,6 +103,7 @@
             Ok(false) => {}
             Ok(true) => alive(&mut frames).await?,
             Err(fault) => {
+                ear.seen.dropped.more();
                 if let Some(times) = odd.due() {
                     warn!(log, "report dropped"; "why" => fault, "times" => times);
                 }
@@ -194,7 +195,7 @@
             None => _ = report.as_object_mut().unwrap().remove(field),
         }
         let (ear, mut told) = mpsc::channel(1);
-        let read = one(&report, &names, &Ear(ear)).await;
+        let read = one(&report, &names, &Ear { told: ear, seen: Default::default() }).await;
         assert_eq!(read.is_ok(), told.try_recv().is_ok());
         read.is_ok()
     }
--- a/supervisor/src/front.rs
+++ b/supervisor/src/front.rs
@@ -102,6 +102,7 @@
         };
         let here = |guests: &Guests| guests.strangers.len() + guests.joined.len();
         if here(&guests.borrow()) >= most {
+            front.ear.seen.turned_away.more();
             if let Some(times) = full.due() {
                 warn!(front.log, "stranger turned away: too many"; "times" => times);
             }
@@ -116,6 +117,7 @@
         let task = spawn_local(async move {
             let log = front.log.new(o!("from" => from.to_string()));
             if let Err(failed) = one(stream, &front, router, &all, (number, each_zone), &log).await {
+                front.ear.seen.ended.more();
                 if let Some(times) = ended.borrow_mut().due() {
                     info!(log, "connection ended"; "why" => %failed, "times" => times);
                 }
--- a/supervisor/src/list.rs
+++ b/supervisor/src/list.rs
@@ -20,7 +20,6 @@
 /// How long a watch may wait before it answers with nothing: a list that has gone silent is found this late.
 const WATCH_MS: u64 = 1_500;
 const ANSWER_WITHIN: Duration = Duration::from_millis(600);
-const MOST_BYTES: usize = 4 << 20;
 
 pub struct Answer {
     pub version: u64,
@@ -56,7 +55,7 @@
 /// Follows the list for ever; `follow` is the rules' word to ask, at the start and after a failure. A list that
 /// has moved is asked for whole at its new place at once, whatever call is open at the old.
 pub async fn follow(
-    mut place: watch::Receiver<SocketAddr>,
+    (mut place, most_bytes): (watch::Receiver<SocketAddr>, usize),
     names: Rc<Names>,
     follow: Rc<Notify>,
     ear: Ear,
@@ -70,7 +69,7 @@
                 asking = true;
                 continue;
             }
-            told = ask(&peer, &names, version), if asking => told,
+            told = ask(&peer, &names, version, most_bytes), if asking => told,
             Ok(()) = place.changed() => {
                 peer = Peer::at(*place.borrow_and_update());
                 (version, asking) = (None, true);
@@ -106,7 +105,7 @@
     }
 }
 
-async fn ask(peer: &Peer, names: &Names, version: Option<u64>) -> Result<Answer, Failed> {
+async fn ask(peer: &Peer, names: &Names, version: Option<u64>, most: usize) -> Result<Answer, Failed> {
     let (path, within) = match version {
         None => ("/v1/servers".into(), ANSWER_WITHIN),
         Some(seen) => {
@@ -114,7 +113,7 @@
             (path, Duration::from_millis(WATCH_MS) + ANSWER_WITHIN)
         }
     };
-    let (status, body) = peer.ask(Method::GET, &path, Bytes::new(), within, MOST_BYTES).await?;
+    let (status, body) = peer.ask(Method::GET, &path, Bytes::new(), within, most).await?;
     if status != StatusCode::OK {
         return Err(Failed::new(Came::TurnedAway, format!("status {status}")));
     }
--- a/supervisor/src/main.rs
+++ b/supervisor/src/main.rs
@@ -84,7 +84,7 @@
     let follow = planner.follow();
     let listener = TcpListener::bind(papers.listen).await?;
     info!(log, "started"; "version" => env!("CARGO_PKG_VERSION"), "listen" => %listener.local_addr()?);
-    let names = papers.names.clone();
+    let (names, seen, list_bytes) = (papers.names.clone(), ear.seen.clone(), papers.list_bytes);
     let front = front::Front { names: names.clone(), ear: ear.clone(), page, log: log.clone() };
     spawn_local(front::serve(listener, front, papers.connections));
     {
@@ -92,7 +92,8 @@
         kept_up("list", log.clone(), move || {
             // A task started anew asks at once: the rules do not know that the old one broke.
             follow.notify_one();
-            list::follow(list.clone(), names.clone(), follow.clone(), ear.clone(), log.clone())
+            let place = (list.clone(), list_bytes);
+            list::follow(place, names.clone(), follow.clone(), ear.clone(), log.clone())
         });
     }
     {
@@ -103,7 +104,7 @@
     }
     tokio::select! {
         () = planner.run() => {}
-        () = papers::follow(hangups, papers, list_moves, relay_moves, log.clone()) => {}
+        () = papers::follow(hangups, papers, list_moves, relay_moves, seen, log.clone()) => {}
         _ = told_to_end.recv() => info!(log, "told to end"),
         _ = interrupted.recv() => info!(log, "interrupted"),
     }
--- a/supervisor/src/papers.rs
+++ b/supervisor/src/papers.rs
@@ -2,6 +2,7 @@
 //! at each SIGHUP. A new file may move our peers; what it can't change while we run is refused.
 
 use crate::list;
+use crate::planner::Seen;
 use otterwinch::charter::Charter;
 use otterwinch::host::Listing;
 use otterwinch_hostkit::{charter, Fields, Figures};
@@ -42,6 +43,7 @@
 
 /// Connections at our address, whatever the papers allow.
 const MOST_CONNECTIONS: u64 = 512;
+const MOST_LIST_BYTES: u64 = 4 << 20;
 /// Proxy numbers of papers that do not say how many there are.
 const MOST_PROXIES: u32 = 65_536;
 
@@ -56,6 +58,8 @@
     pub known: Vec<Listing>,
     /// How many connections our address may hold: half of all sockets, so that our own ways out have theirs.
     pub connections: usize,
+    /// The longest answer of the list, by the memory that we have: read into values it takes ten times as much.
+    pub list_bytes: usize,
 }
 
 impl Papers {
@@ -113,17 +117,22 @@
         }
         let known = f.value("known").and_then(|v| list::answer(v, &names));
         let known = faults.none_in(known.map_err(|e| format!("papers: field 'known': {e}")));
-        let sockets = match f.value("limits") {
-            Ok(limits) => Fields::named(limits, "papers: 'limits'").and_then(|f| f.whole("sockets")),
-            Err(_) => Ok(2 * MOST_CONNECTIONS),
+        let limit = |name: &str, absent: u64| match f.value("limits") {
+            Ok(limits) if limits.get(name).is_some() => {
+                Fields::named(limits, "papers: 'limits'")?.whole(name)
+            }
+            _ => Ok(absent),
         };
+        let sockets = limit("sockets", 2 * MOST_CONNECTIONS);
+        let memory = faults.none_in(limit("memory_mb", 1 << 10)).unwrap_or(0);
+        let list_bytes = ((memory << 20) / 32).min(MOST_LIST_BYTES) as usize;
         let connections = faults.none_in(sockets).map(|n| (n / 2).clamp(1, MOST_CONNECTIONS) as usize);
         match (listen, list, relay, seed, known, connections) {
             (Some(listen), Some(list), Some(relay), Some(seed), Some(known), Some(connections))
                 if faults.0.is_empty() =>
             {
                 let (names, known) = (Rc::new(names), known.listings);
-                Ok(Papers { name, listen, list, relay, seed, names, charter, known, connections })
+                Ok(Papers { name, listen, list, relay, seed, names, charter, known, connections, list_bytes })
             }
             _ => Err(faults.0),
         }
@@ -155,11 +164,14 @@
     papers: Rc<Papers>,
     list: watch::Sender<SocketAddr>,
     relay: watch::Sender<SocketAddr>,
+    seen: Rc<Seen>,
     log: Logger,
 ) {
     while hangups.recv().await.is_some() {
         let newer = Papers::from_file(None, |name| std::env::var(name).ok());
-        match newer.and_then(|newer| papers.followed_by(newer)) {
+        let newer = newer.and_then(|newer| papers.followed_by(newer));
+        if newer.is_ok() { &seen.papers_read } else { &seen.papers_refused }.more();
+        match newer {
             Ok(newer) => {
                 let moved = [(&list, newer.list), (&relay, newer.relay)]
                     .map(|(peer, to)| peer.send_if_modified(|at| std::mem::replace(at, to) != to));
--- a/supervisor/src/planner.rs
+++ b/supervisor/src/planner.rs
@@ -10,6 +10,7 @@
 use otterwinch_hostkit::{caught, Checks};
 use serde_json::json;
 use slog::{error, info, warn, Logger};
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, watch};
@@ -23,12 +24,34 @@
 
 /// What the tasks of the peers speak to. Where the planner is behind, they wait.
 #[derive(Clone)]
-pub struct Ear(pub mpsc::Sender<Told>);
+pub struct Ear {
+    pub told: mpsc::Sender<Told>,
+    pub seen: Rc<Seen>,
+}
+
+/// What went amiss at our address and with the papers, counted for the page.
+#[derive(Default)]
+pub struct Seen {
+    pub dropped: Count,
+    pub ended: Count,
+    pub turned_away: Count,
+    pub papers_read: Count,
+    pub papers_refused: Count,
+}
+
+#[derive(Default)]
+pub struct Count(Cell<u64>);
+
+impl Count {
+    pub fn more(&self) {
+        self.0.set(self.0.get() + 1);
+    }
+}
 
 impl Ear {
     pub async fn tell(&self, told: impl FnOnce(&mut Rules<Desk>, Moment) + 'static) {
         // Only at the end of the process is nobody there to listen.
-        let _ = self.0.send(Box::new(told)).await;
+        let _ = self.told.send(Box::new(told)).await;
     }
 }
 
@@ -59,6 +82,7 @@
     /// The relay said of the last call that it is none.
     unfit: bool,
     told: mpsc::Receiver<Told>,
+    seen: Rc<Seen>,
     page: watch::Sender<String>,
     log: Logger,
     opened: u64,
@@ -76,6 +100,7 @@
         rules.host().learn(&papers.known, true);
         rules.list_whole(now, &papers.known);
         let (ear, told) = mpsc::channel(QUEUE);
+        let seen = Rc::<Seen>::default();
         let (page, shown) = watch::channel(String::from("{}"));
         let (lost, opened, lost_calls) = (false, 1, 0);
         let (paged, summed) = (now, now);
@@ -87,6 +112,7 @@
             lost,
             unfit: false,
             told,
+            seen: seen.clone(),
             page,
             log,
             opened,
@@ -94,7 +120,7 @@
             paged,
             summed,
         };
-        (planner, Ear(ear), shown)
+        (planner, Ear { told: ear, seen }, shown)
     }
 
     pub fn follow(&mut self) -> std::rc::Rc<tokio::sync::Notify> {
@@ -236,13 +262,24 @@
         let (calls, lost_calls, opened, lost) = (self.orders.calls, self.lost_calls, self.opened, self.lost);
         let desk = self.rules.host();
         let (servers, proxies, ordered) = (desk.servers(), desk.joined.len(), desk.ordered);
+        let [dropped, ended, turned_away, papers_read, papers_refused] = [
+            &self.seen.dropped,
+            &self.seen.ended,
+            &self.seen.turned_away,
+            &self.seen.papers_read,
+            &self.seen.papers_refused,
+        ]
+        .map(|count| count.0.get());
         let page = json!({"servers": servers, "proxies": proxies, "orders": ordered, "calls": calls,
-            "calls_lost": lost_calls, "opened": opened, "relay_away": lost});
+            "calls_lost": lost_calls, "opened": opened, "relay_away": lost, "dropped": dropped,
+            "ended": ended, "turned_away": turned_away, "papers_read": papers_read,
+            "papers_refused": papers_refused});
         self.page.send_replace(page.to_string());
         if now - self.summed >= SUMMARY_EVERY {
             self.summed = now;
             info!(self.log, "summary"; "servers" => servers, "proxies" => proxies, "orders" => ordered,
-                "calls" => calls, "calls_lost" => lost_calls, "opened" => opened);
+                "calls" => calls, "calls_lost" => lost_calls, "opened" => opened, "dropped" => dropped,
+                "ended" => ended, "turned_away" => turned_away);
         }
     }
 }
--- a/supervisor/tests/sockets.rs
+++ b/supervisor/tests/sockets.rs
@@ -310,6 +310,8 @@
         let why = supervisor.logged("papers refused, the old ones hold")["why"].to_string();
         assert!(why.contains(field), "{why}");
     }
+    let counted = || supervisor.page("/state").contains(r#""papers_refused":2"#).then_some(());
+    until("both counted", counted);
     list.changes(&[server("a", "leaving")]);
     assert_eq!(relay.order("eject")["endpoint"], "a");
 }
