--- a/src/histogram.rs
+++ b/src/histogram.rs
@@ -33,9 +33,9 @@
         self.bins.iter_mut().for_each(|bin| *bin /= 2.0);
     }
 
-    /// The sum of a figure that each bin stands for.
-    pub fn sum_of(&self, figures: [f64; N]) -> f64 {
-        self.bins.iter().zip(figures).map(|(bin, f)| bin * f).sum()
+    /// What lies in the last bin.
+    pub fn worst(&self) -> f64 {
+        self.bins[N - 1]
     }
 
     pub fn total(&self) -> f64 {
@@ -45,6 +45,6 @@
     /// The mean of a figure that each bin stands for; nothing where nothing was counted.
     pub fn mean_of(&self, figures: [f64; N]) -> Option<f64> {
         let total = self.total();
-        (total > 0.0).then(|| self.sum_of(figures) / total)
+        (total > 0.0).then(|| self.bins.iter().zip(figures).map(|(bin, f)| bin * f).sum::<f64>() / total)
     }
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -74,7 +74,7 @@
 /// Outcomes by band: answered within 0.4, 0.6, 1 and more of the SLA time, voided; how much each hurts.
 const BANDS: [f64; 3] = [0.4, 0.6, 1.0];
 const HURT: [f64; 5] = [0.0, 0.0, 0.3, 1.0, 1.0];
-/// What a troubled server keeps of its weight; tries that tell, or their hurt; how far it must stand out.
+/// What a troubled server keeps of its weight; tries that tell, or voided ones; how far it must stand out.
 const RUNGS: [f64; 6] = [1.0, 0.75, 0.55, 0.35, 0.15, 0.04];
 const ENOUGH: f64 = 6.0;
 const SURE: f64 = 2.0;
@@ -615,18 +615,18 @@
         (self.lines_may_wait(urgent) - waiting).max(if waiting < 1.0 { least } else { 0.0 })
     }
 
-    /// A server that hurts more than its peers goes down a rung, be its tries many or few and bad: a slow one,
-    /// or one that many supervisors share, tells little. Only some of the fleet is held back, and none while
-    /// the middle one hurts too: in a jam a move only moves the jam. Rests grow with each strike.
+    /// A server that hurts more than its peers goes down a rung; the mean one's tries are enough to tell. Only
+    /// part of the fleet is held back, none while the middle one hurts too: in a jam a move only moves the jam.
     fn judge(&mut self, now: Moment) {
         let mut fleet = Histogram::<5>::default();
         self.ready().for_each(|(_, s)| fleet.merge(&s.tally));
         let par = fleet.mean_of(HURT).unwrap_or(0.0);
-        let tells = |s: &Server| s.tally.total() >= ENOUGH || s.tally.sum_of(HURT) >= SURE;
+        let enough = ENOUGH.min(fleet.total() / self.ready().count().max(1) as f64);
+        let tells = |s: &Server| s.tally.total() >= enough || s.tally.worst() >= SURE;
         let hurt = |(id, s): (&Id, &Server)| (s.tally.mean_of(HURT).unwrap_or(0.0), id.clone());
         let mut hurts: Vec<(f64, Id)> = self.ready().filter(|(_, s)| tells(s)).map(hurt).collect();
         hurts.sort_by(|a, b| b.0.total_cmp(&a.0));
-        let known = hurts.iter().filter(|h| self.servers[&h.1].tally.total() >= ENOUGH).map(|h| h.0);
+        let known = hurts.iter().filter(|h| self.servers[&h.1].tally.total() >= enough).map(|h| h.0);
         self.pulse.middle = known.clone().nth(known.clone().count() / 2).unwrap_or(0.0);
         let mut held_back: f64 = self.ready().map(|(_, s)| s.weight * (1.0 - RUNGS[s.rung])).sum();
         let most = self.ready_weight() * MOST_HELD_BACK;
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -349,21 +349,28 @@
     assert_eq!(rules.servers.values().map(|s| s.rung).collect::<Vec<_>>(), [0, 0, 1, 0]);
 }
 
-#[test]
-fn few_tries_tell_enough_where_all_of_them_hurt_and_hold_a_server_back_until_they_no_longer_do() {
+/// Three servers of whom `tries` are heard, and `a` with two tries.
+fn judged(tries: f64, voided: f64, took: f64) -> Rules<crate::testing::Recorder> {
     let mut rules = running(charter(), &["a", "b", "c", "d"], 1);
-    let met = |rules: &mut Rules<_>, now, voided| {
-        ["b", "c", "d"].iter().for_each(|id| rules.met(now, id, 9.0, 0.0, Span::ZERO, Span::ZERO));
-        rules.met(now, "a", 2.0, voided, Span::ZERO, Span::ZERO);
-    };
-    met(&mut rules, at(1.0), 2.0);
+    ["b", "c", "d"].iter().for_each(|id| rules.met(at(1.0), id, tries, 0.0, Span::ZERO, Span::ZERO));
+    rules.met(at(1.0), "a", 2.0, voided, Span::secs(took), Span::ZERO);
     rules.judge(at(1.0));
-    assert_eq!(rules.servers["a"].rung, 3);
-    met(&mut rules, at(9.0), 1.0);
+    rules
+}
+
+#[test]
+fn two_voided_tries_tell_enough_and_hold_a_server_back_until_nothing_hurts() {
+    let mut rules = judged(9.0, 2.0, 0.0);
+    assert_eq!((rules.servers["a"].rung, rules.pulse.middle), (3, 0.0));
+    rules.met(at(9.0), "a", 2.0, 1.0, Span::ZERO, Span::ZERO);
     rules.judge(at(9.0));
     assert_eq!(rules.servers["a"].rung, 3, "its rest is over and it still hurts");
-    // Only those of whom enough is known are counted when it is asked whether most of the fleet hurts.
-    assert_eq!(rules.pulse.middle, 0.0);
+}
+
+#[test]
+fn late_tries_tell_if_they_are_six_or_as_many_as_the_mean_server_has() {
+    assert_eq!(judged(9.0, 0.0, 2.0).servers["a"].rung, 0);
+    assert_eq!(judged(2.0, 0.0, 2.0).servers["a"].rung, 3);
 }
 
 #[test]
