--- a/src/rules.rs
+++ b/src/rules.rs
@@ -74,7 +74,7 @@
 /// Outcomes by band: answered within 0.4, 0.6, 1 and more of the SLA time, voided; how much each hurts.
 const BANDS: [f64; 3] = [0.4, 0.6, 1.0];
 const HURT: [f64; 5] = [0.0, 0.0, 0.3, 1.0, 1.0];
-/// What a troubled server keeps of its weight; tries that tell, or voided ones; how far it must stand out.
+/// What is kept on each rung; tries that tell, voided ones that do, times the mean's; how far it stands out.
 const RUNGS: [f64; 6] = [1.0, 0.75, 0.55, 0.35, 0.15, 0.04];
 const ENOUGH: f64 = 6.0;
 const SURE: f64 = 2.0;
--- a/supervisor/src/planner.rs
+++ b/supervisor/src/planner.rs
@@ -123,7 +123,7 @@
         (planner, Ear { told: ear, seen }, shown)
     }
 
-    pub fn follow(&mut self) -> std::rc::Rc<tokio::sync::Notify> {
+    pub fn follow(&mut self) -> Rc<tokio::sync::Notify> {
         self.rules.host().follow.clone()
     }
 
