--- a/src/rules.rs
+++ b/src/rules.rs
@@ -254,7 +254,7 @@
         }
     }
 
-    /// Rule 4: no more of its weight than the slowest warm-up allows at its age, however late the list told it.
+    /// Rule 4: no more of its weight than the slowest warm-up allows at its age, counted from its start.
     fn warmth(&self, now: Moment, server: &Server) -> f64 {
         let cold_for = self.charter.cold_for;
         let Some(age) = server.started.map(|at| now - at).filter(|age| *age < cold_for) else { return 1.0 };
@@ -271,7 +271,7 @@
     }
 
     /// What a table should hold: every listed server, at listed weight but for the exceptions, and whether it
-    /// is warm. Rule 1: none takes a warm server at home out; far ones only where all could not leave in time.
+    /// is warm. Rule 1: none takes a warm server at home out; far ones only where all can't leave in time.
     fn wanted(&mut self, now: Moment, number: u32) -> BTreeMap<Id, (f64, bool)> {
         let mut parts = self.parts(now);
         let Some(tbl) = self.tbls.get(&number) else { return BTreeMap::new() };
@@ -318,19 +318,19 @@
     fn eased(&self, parts: Vec<Part>) -> BTreeMap<Id, (f64, bool)> {
         let sum = |is| parts.iter().filter(|p| (p.warmth >= 1.0) == is).map(Part::bears).sum::<f64>();
         let (cold, warm) = (sum(false), sum(true));
-        // A fleet that shrank or turns tries away brings a cold server more than its weight says: it is cut by
-        // as much, but never so far that the warm ones fall in its place.
+        // A fleet that shrank or turns tries away brings a cold server more than its weight says: it is cut
+        // by as much, but never so far that the warm ones fall in its place.
         let answers = self.pulse.answered.max(1.0) / self.pulse.tries.max(1.0);
         let crowded = (self.ready_weight() / self.pulse.peak.max(1e-9) * answers).clamp(0.05, 1.0);
         let cut = crowded.max(((cold + warm) / WARM_BEARS - warm) / cold.max(1e-9)).min(1.0);
-        // Proxies that shun leave a failing fleet for whatever they have not tried yet: the youngest stay out.
+        // Proxies that shun leave a failing fleet for what they have not tried yet: the youngest stay out.
         let rush = self.charter.shuns_after > 0 && warm > 0.0 && self.pulse.struggling;
         let kept = parts.into_iter().filter(|p| p.warmth >= YOUNG || !rush);
         let ease = |p: &Part| if p.warmth < 1.0 { p.warmth * cut } else { 1.0 };
         kept.map(|p| (p.id.clone(), (p.weight * ease(&p), p.warmth >= 1.0))).collect()
     }
 
-    /// What differs from what stands, widest gaps first; slight ones are not worth their way. What can't wait:
+    /// What differs from what stands, widest gaps first; slight ones are not worth their way. Can't wait:
     /// servers that left, a table's first usable lines, a known server that came back cold.
     fn changes(&mut self, now: Moment, number: u32, users: f64) -> Vec<Change> {
         let wanted = self.wanted(now, number);
@@ -370,11 +370,11 @@
         carried.then(|| self.look()).is_some()
     }
 
-    /// A moment's orders came to nothing, or nobody knows. They go again as they were, and nothing before they
-    /// are taken: what piled up behind them would come in one burst.
+    /// A moment's orders came to nothing, or nobody knows. They go again as they were, and nothing before
+    /// they are taken: what piled up behind them would come in one burst.
     pub fn orders_lost(&mut self, now: Moment, unsure: bool) {
         self.held.unanswered = true;
-        // Rule 5: were they carried out, their lines wait twice; a mark of the repeat's own tells when it came.
+        // Rule 5: were they carried out, their lines wait twice; a mark of the repeat's tells when it came.
         let (lines, number) = if unsure { self.ledger.again(now) } else { (0.0, None) };
         number.into_iter().for_each(|number| self.host.mark(number));
         self.host.wake(LOOK_AGAIN + Span::secs(lines / self.charter.channel_rate.max(1.0)), REPEAT);
@@ -592,8 +592,8 @@
         }
     }
 
-    /// The lines that fit for some proxies in all. What can't wait goes at once a few times, then at a pace that
-    /// the limit of messages bears for ever.
+    /// The lines that fit for some proxies in all. What can't wait goes at once a few times, then at a pace
+    /// that the limit of messages bears for ever.
     fn room(&mut self, now: Moment, urgent: bool, which: impl Fn(&Proxy) -> bool) -> f64 {
         let (over, most) = (self.charter.messages_over, self.charter.messages_most as usize);
         let pace = over * (1.0 / most.saturating_sub(BURST).max(1) as f64);
@@ -615,8 +615,8 @@
         (self.lines_may_wait(urgent) - waiting).max(if waiting < 1.0 { least } else { 0.0 })
     }
 
-    /// A server that hurts more than its peers goes down a rung; a third over the mean's tries is enough. Only
-    /// part of the fleet is held back, none while the middle one hurts too: in a jam a move only moves the jam.
+    /// A server that hurts more than its peers goes down a rung; a third over the mean's tries is enough.
+    /// Part of the fleet is held back at most, none while the middle one hurts: that only moves the jam.
     fn judge(&mut self, now: Moment) {
         let mut fleet = Histogram::<5>::default();
         self.ready().for_each(|(_, s)| fleet.merge(&s.tally));
