Packages for a fleet's description, captured load and an event-driven play

Need: the capacity planner, and every direction after it, starts from a fleet's description, from captured load and from a play in which the real rules steer.

Change: settings/ reads protobuf text format by a schema and names every fault at once with its line; capture/ is a file of compressed, checksummed blocks that reads to its last whole block and passes over spoilt ones; fleet/ holds the schema, its bounds, import from CSV and JSON lines, a maker of seeded load, and a capture made ready for a plan (clock steps, holes, strangers told); replay/ plays clients, forwarders, nodes, list and supervisors with the real rules.

--- /dev/null
+++ b/examples/loads/minute.make
@@ -0,0 +1,5 @@
+# A minute at 55 txns a second, with one minute's wave and a burst of costly quotes.
+for_s: 60
+txns_per_s: 55
+curve { depth: 0.15 period_s: 60 }
+burst { at_s: 25 for_s: 8 product: "fare-quote" costly_share: 0.03 costly_from: 7 costly_to: 20 }
--- /dev/null
+++ b/fleet/src/lib.rs
@@ -0,0 +1,24 @@
+//! Facts that the planning packages start from: what a fleet is, and what load it meets. All is read and checked here,
+//! so that nothing unchecked travels inward.
+//!
+//! [`read`] turns the text of a description into a [`model::Fleet`] or names every fault. `model.rs` is a fleet,
+//! `check.rs` the bounds of each figure, `proto/` the schemas, `text.rs` their text. [`load::Load`] reads a capture
+//! for a fleet; `import.rs` makes one from logs and `make.rs` from a recipe. `draws.rs` is chance from a seed.
+
+mod check;
+pub mod draws;
+pub mod import;
+pub mod load;
+pub mod make;
+pub mod model;
+pub mod scale;
+mod text;
+
+pub use load::{Due, Load};
+pub use model::Fleet;
+pub use text::{read, read_recipe};
+
+/// The schema's generated types.
+pub mod proto {
+    include!(concat!(env!("OUT_DIR"), "/otterwinch.fleet.v1.rs"));
+}
--- /dev/null
+++ b/fleet/src/make.rs
@@ -0,0 +1,238 @@
+//! Load where none was captured: seeded arrivals with a slow wave, bursts and costly txns.
+
+use crate::draws::stream;
+use crate::load::Due;
+use crate::model::{Fleet, Work};
+use crate::proto;
+use otterwinch_capture::Txn;
+use otterwinch_settings::Checker;
+use rand::RngExt;
+use rand_distr::{Distribution, Exp, Zipf};
+use rand_pcg::Pcg64Mcg;
+
+const MOST_BURSTS: usize = 64;
+const DAY_S: f64 = 86_400.0;
+
+/// What load to make, checked.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Recipe {
+    pub for_s: f64,
+    pub txns_per_s: f64,
+    /// Depth and period.
+    pub curve: (f64, f64),
+    pub bursts: Vec<Burst>,
+    /// How many references there are, and how unequal.
+    pub keys: Option<(u32, f64)>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Burst {
+    pub at_s: f64,
+    pub for_s: f64,
+    pub times: f64,
+    pub product: Option<usize>,
+    pub hall: Option<usize>,
+    pub costly_share: f64,
+    pub costly: (f64, f64),
+}
+
+impl Burst {
+    fn touches(&self, at: f64, product: usize, hall: usize) -> bool {
+        (self.at_s..self.at_s + self.for_s).contains(&at)
+            && self.product.is_none_or(|p| p == product)
+            && self.hall.is_none_or(|h| h == hall)
+    }
+}
+
+pub(crate) fn recipe(c: &Checker, told: &proto::Make, fleet: &Fleet) -> Recipe {
+    let needed =
+        |field: &str, value: Option<f64>, bounds: std::ops::RangeInclusive<f64>, what: &str, unit: &str| {
+            match value {
+                Some(value) => c.at(field).within(value, bounds, unit),
+                None => {
+                    c.at(field).fault(format!(
+                        "is missing: {what}, {} to {} {unit}",
+                        bounds.start(),
+                        bounds.end()
+                    ));
+                    *bounds.start()
+                }
+            }
+        };
+    let for_s = needed("for_s", told.for_s, 0.1..=DAY_S, "how long the load lasts", "s");
+    let txns_per_s =
+        needed("txns_per_s", told.txns_per_s, 0.0..=200_000.0, "first tries a second", "txns a second");
+    let curve = told.curve.unwrap_or_default();
+    let depth = c.at("curve").at("depth").within(curve.depth.unwrap_or(0.0), 0.0..=1.0, "of the rate");
+    let period = curve.period_s.unwrap_or(DAY_S);
+    let period = c.at("curve").at("period_s").within(period, 0.1..=864_000.0, "s");
+    c.at("burst").unless(told.burst.len() <= MOST_BURSTS, || {
+        format!("{} bursts are not allowed: {MOST_BURSTS} at most", told.burst.len())
+    });
+    let products: Vec<String> = fleet.products.iter().map(|p| p.name.clone()).collect();
+    let halls: Vec<String> = fleet.halls.iter().map(|h| h.name.clone()).collect();
+    let burst = |(k, told): (usize, &proto::Burst)| {
+        let c = c.nth("burst", k);
+        let named = |field: &str, name: &str, known: &[String], what| {
+            (!name.is_empty()).then(|| c.at(field).place(name, known, what))
+        };
+        let from =
+            c.at("costly_from").within(told.costly_from.unwrap_or(1.0), 1.0..=1_000.0, "times the work");
+        let to = told.costly_to.unwrap_or(from);
+        let length = c.at("for_s").needed(told.for_s, "how long the burst lasts, in seconds");
+        Burst {
+            at_s: c.at("at_s").within(told.at_s.unwrap_or(0.0), 0.0..=DAY_S, "s"),
+            for_s: if told.for_s.is_some() { c.at("for_s").within(length, 0.01..=DAY_S, "s") } else { 1.0 },
+            times: c.at("times").within(told.times.unwrap_or(1.0), 0.0..=1_000.0, "times the rate"),
+            product: named("product", &told.product, &products, "product"),
+            hall: named("hall", &told.hall, &halls, "hall"),
+            costly_share: c.at("costly_share").within(
+                told.costly_share.unwrap_or(0.0),
+                0.0..=1.0,
+                "of the txns",
+            ),
+            costly: (from, c.at("costly_to").within(to, from..=1_000.0, "times the work")),
+        }
+    };
+    let keys = told.keys.map(|keys| {
+        let c = c.at("keys");
+        let distinct = c.at("distinct").count(keys.distinct.unwrap_or(0), 1..=10_000_000, "references");
+        (distinct, c.at("skew").within(keys.skew.unwrap_or(0.0), 0.0..=3.0, "of skew"))
+    });
+    let bursts = told.burst.iter().enumerate().map(burst).collect();
+    Recipe { for_s, txns_per_s, curve: (depth, period), bursts, keys }
+}
+
+/// Txns in the order of their arrival; the same seed makes the same ones.
+pub struct Maker {
+    fleet: Fleet,
+    recipe: Recipe,
+    at: f64,
+    /// The highest rate that any moment may have.
+    highest: f64,
+    arrivals: Pcg64Mcg,
+    places: Pcg64Mcg,
+    work: Pcg64Mcg,
+    keys: Pcg64Mcg,
+    popular: Option<Zipf<f64>>,
+}
+
+impl Maker {
+    pub fn new(fleet: &Fleet, recipe: &Recipe, seed: u64) -> Self {
+        let edges = recipe.bursts.iter().map(|burst| burst.at_s).chain([0.0]);
+        let busiest = edges.map(|at| recipe_rate(fleet, recipe, at)).fold(0.0, f64::max);
+        let popular = recipe.keys.and_then(|(n, skew)| Zipf::new(f64::from(n), skew).ok());
+        Maker {
+            fleet: fleet.clone(),
+            recipe: recipe.clone(),
+            at: 0.0,
+            highest: busiest * (1.0 + recipe.curve.0),
+            arrivals: stream(seed, "arrivals", 0),
+            places: stream(seed, "places", 0),
+            work: stream(seed, "work", 0),
+            keys: stream(seed, "keys", 0),
+            popular,
+        }
+    }
+
+    /// The same as a plan takes them.
+    pub fn dues(self) -> impl Iterator<Item = Due> {
+        self.map(|txn| Due {
+            at: txn.at_us as f64 / 1e6,
+            product: txn.product as usize,
+            hall: txn.hall as usize,
+            work: txn.work_us.unwrap_or(0) as f64 / 1e6,
+            key: txn.key,
+        })
+    }
+
+    fn wave(&self) -> f64 {
+        let (depth, period) = self.recipe.curve;
+        1.0 + depth * (self.at / period * std::f64::consts::TAU).sin()
+    }
+
+    /// Draws which product and hall a txn of this moment belongs to, by their rates.
+    fn place(&mut self, rate: f64) -> (usize, usize) {
+        let mut drawn = self.places.random::<f64>() * rate;
+        let mut last = (0, 0);
+        for product in 0..self.fleet.products.len() {
+            for hall in 0..self.fleet.halls.len() {
+                let part = part(&self.fleet, &self.recipe, self.at, product, hall);
+                drawn -= part * self.recipe.txns_per_s;
+                if part > 0.0 {
+                    last = (product, hall);
+                }
+                if drawn < 0.0 && part > 0.0 {
+                    return last;
+                }
+            }
+        }
+        last
+    }
+}
+
+/// The part of the rate that a product and hall have at a moment.
+fn part(fleet: &Fleet, recipe: &Recipe, at: f64, product: usize, hall: usize) -> f64 {
+    let touching = recipe.bursts.iter().filter(|burst| burst.touches(at, product, hall));
+    fleet.products[product].share
+        * fleet.halls[hall].clients
+        * touching.map(|burst| burst.times).product::<f64>()
+}
+
+fn recipe_rate(fleet: &Fleet, recipe: &Recipe, at: f64) -> f64 {
+    let (products, halls) = (fleet.products.len(), fleet.halls.len());
+    let parts = (0..products).flat_map(|p| (0..halls).map(move |h| (p, h)));
+    parts.map(|(p, h)| part(fleet, recipe, at, p, h)).sum::<f64>() * recipe.txns_per_s
+}
+
+/// Seconds of work of one txn, drawn.
+pub fn work(work: &Work, draws: &mut Pcg64Mcg) -> f64 {
+    // Three draws whatever comes of them, so that one txn's cost moves no other's.
+    let [plain, costly, factor] = [(); 3].map(|()| draws.random::<f64>());
+    let times = if costly < work.costly_share {
+        work.costly_from + (work.costly_to - work.costly_from) * factor
+    } else {
+        1.0
+    };
+    (work.from + (work.to - work.from) * plain) * times
+}
+
+impl Iterator for Maker {
+    type Item = Txn;
+
+    fn next(&mut self) -> Option<Txn> {
+        if self.highest <= 0.0 {
+            return None;
+        }
+        let gap = Exp::new(self.highest).expect("a rate above 0");
+        loop {
+            self.at += gap.sample(&mut self.arrivals);
+            if self.at >= self.recipe.for_s {
+                return None;
+            }
+            // Thinned from the highest rate to this moment's.
+            let rate = recipe_rate(&self.fleet, &self.recipe, self.at);
+            if self.arrivals.random::<f64>() * self.highest >= rate * self.wave() {
+                continue;
+            }
+            let (product, hall) = self.place(rate);
+            let mut cost = work(&self.fleet.products[product].work, &mut self.work);
+            let bursts = self.recipe.bursts.iter().filter(|b| b.touches(self.at, product, hall));
+            for burst in bursts {
+                let [costly, factor] = [(); 2].map(|()| self.work.random::<f64>());
+                if costly < burst.costly_share {
+                    cost *= burst.costly.0 + (burst.costly.1 - burst.costly.0) * factor;
+                }
+            }
+            let key = self.popular.as_ref().map(|popular| popular.sample(&mut self.keys) as u64);
+            return Some(Txn {
+                at_us: (self.at * 1e6) as i64,
+                product: product as u32,
+                hall: hall as u32,
+                work_us: Some((cost * 1e6).round() as u64),
+                key,
+                attempt: 0,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/model.rs
@@ -0,0 +1,211 @@
+//! A fleet as the other packages use it: checked, in halls and products by their places, times as spans.
+
+use otterwinch::time::Span;
+
+/// A whole fleet. Halls, groups and products are named by their places in these lists everywhere else.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fleet {
+    pub name: String,
+    pub network: Network,
+    pub halls: Vec<Hall>,
+    pub groups: Vec<Group>,
+    pub products: Vec<Product>,
+    pub clients: Clients,
+    pub forwarders: Forwarders,
+    pub supervisors: Supervisors,
+    pub goal: Goal,
+}
+
+/// One-way times.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Network {
+    pub client: Span,
+    /// From hall to hall, a row a hall; within a hall on the diagonal.
+    pub ways: Vec<Vec<Span>>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Hall {
+    pub name: String,
+    pub forwarders: u32,
+    /// Its part of all clients; all halls sum to 1.
+    pub clients: f64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Group {
+    pub name: String,
+    pub hall: usize,
+    pub count: u32,
+    pub cores: u32,
+    pub speed: Speed,
+    pub weight: f64,
+    pub waiting: u32,
+    pub connections: u32,
+    /// Work of a new connection, in seconds on a core of speed 1.
+    pub connection_work: f64,
+    pub warm_up: Option<WarmUp>,
+    pub topples: Option<Topples>,
+    pub works_on: bool,
+    /// How long before the load begins; long ago where it isn't told.
+    pub started: Option<Span>,
+}
+
+/// Seconds of work that one core does in a second.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Speed {
+    Between(f64, f64),
+    /// One a node, again from the first where there are more nodes.
+    Measured(Vec<f64>),
+}
+
+impl Speed {
+    pub fn mean(&self) -> f64 {
+        match self {
+            Speed::Between(from, to) => (from + to) / 2.0,
+            Speed::Measured(each) => each.iter().sum::<f64>() / each.len().max(1) as f64,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WarmUp {
+    pub from: f64,
+    pub over: Span,
+}
+
+impl WarmUp {
+    /// The part of its full speed that a node has at an age.
+    ///
+    /// ```
+    /// use otterwinch::time::Span;
+    /// use otterwinch_fleet::model::WarmUp;
+    /// let warm_up = WarmUp { from: 0.25, over: Span::secs(8.0) };
+    /// assert_eq!(warm_up.part(Span::secs(4.0)), 0.625);
+    /// assert_eq!(warm_up.part(Span::secs(60.0)), 1.0);
+    /// ```
+    pub fn part(&self, age: Span) -> f64 {
+        let grown = (age.as_secs() / self.over.as_secs()).clamp(0.0, 1.0);
+        self.from + (1.0 - self.from) * grown
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Topples {
+    pub multiple: f64,
+    pub over: Span,
+}
+
+/// What a repeat may do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeats {
+    InquiryLike,
+    Referenced,
+    OnceOnly,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Product {
+    pub name: String,
+    /// Its part of all txns; all products sum to 1.
+    pub share: f64,
+    pub work: Work,
+    pub sla: Span,
+    pub expiry: Span,
+    pub revenue: f64,
+    pub late_part: f64,
+    pub repeats: Repeats,
+    pub discard: Span,
+    pub floor: f64,
+}
+
+/// Seconds of work on a core of speed 1.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Work {
+    pub from: f64,
+    pub to: f64,
+    pub costly_share: f64,
+    pub costly_from: f64,
+    pub costly_to: f64,
+}
+
+impl Work {
+    /// The mean, and the mean of the square.
+    pub fn moments(&self) -> (f64, f64) {
+        let even = |a: f64, b: f64| ((a + b) / 2.0, (a * a + a * b + b * b) / 3.0);
+        let (plain, factor) = (even(self.from, self.to), even(self.costly_from, self.costly_to));
+        let (cheap, dear) = (1.0 - self.costly_share, self.costly_share);
+        (plain.0 * (cheap + dear * factor.0), plain.1 * (cheap + dear * factor.1))
+    }
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Clients {
+    pub again: u32,
+    pub wait: (Span, Span),
+    /// Parts of the expiry.
+    pub patience: (f64, f64),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Forwarders {
+    pub idle: Span,
+    /// One more try by themselves where the first never ran.
+    pub again: bool,
+    pub line: Span,
+    pub standing: u32,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Supervisors {
+    pub count: u32,
+    pub report_every: Span,
+    pub report_late: Span,
+    pub list_late: Span,
+    pub lines_per_s: f64,
+    pub head_lines: f64,
+    pub most_waiting: f64,
+    pub message: Span,
+    pub drain_grace: Span,
+    pub cold_for: Span,
+    pub crossing_costs: bool,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Goal {
+    pub service: f64,
+    pub each_product: f64,
+}
+
+impl Fleet {
+    pub fn nodes(&self) -> u32 {
+        self.groups.iter().map(|group| group.count).sum()
+    }
+
+    /// Seconds of work a second that all nodes of a hall do when warm.
+    pub fn hall_capacity(&self, hall: usize) -> f64 {
+        let of_hall = self.groups.iter().filter(|group| group.hall == hall);
+        of_hall.map(|g| f64::from(g.count * g.cores) * g.speed.mean()).sum()
+    }
+
+    pub fn capacity(&self) -> f64 {
+        (0..self.halls.len()).map(|hall| self.hall_capacity(hall)).sum()
+    }
+
+    pub fn hall(&self, name: &str) -> Option<usize> {
+        self.halls.iter().position(|hall| hall.name == name)
+    }
+
+    pub fn product(&self, name: &str) -> Option<usize> {
+        self.products.iter().position(|product| product.name == name)
+    }
+
+    pub fn group(&self, name: &str) -> Option<usize> {
+        self.groups.iter().position(|group| group.name == name)
+    }
+
+    /// Seconds of work that a txn of the described mix costs on a core of speed 1.
+    pub fn mean_work(&self) -> f64 {
+        self.products.iter().map(|product| product.share * product.work.moments().0).sum()
+    }
+}
--- /dev/null
+++ b/replay/src/charter.rs
@@ -0,0 +1,39 @@
+//! What supervisors of a described fleet read at their start.
+
+use otterwinch::charter::{Admission, Charter, Product};
+use otterwinch::time::Span;
+use otterwinch_fleet::model::{Fleet, Repeats};
+
+pub fn charter(fleet: &Fleet) -> Charter {
+    let told = &fleet.supervisors;
+    let product = |p: &otterwinch_fleet::model::Product| Product {
+        sla: p.sla,
+        revenue: p.revenue,
+        own_zone: false,
+        writes: p.repeats != Repeats::InquiryLike,
+    };
+    Charter {
+        products: fleet.products.iter().map(product).collect(),
+        list_on_request: false,
+        crossing_costs: told.crossing_costs && fleet.halls.len() > 1,
+        admission: Admission::Share,
+        shuns_after: 0,
+        slices: 0,
+        single_writer: false,
+        lease: Span::ZERO,
+        settle: Span::ZERO,
+        report_every: told.report_every,
+        proxies: fleet.halls.iter().map(|hall| hall.forwarders).sum(),
+        supervisors: told.count,
+        standing_most: fleet.forwarders.standing,
+        channel_rate: told.lines_per_s,
+        message_head: told.head_lines,
+        most_waiting: told.most_waiting,
+        messages_most: 0,
+        messages_over: Span::ZERO,
+        way_most: told.message * 2.0,
+        drain_grace: told.drain_grace,
+        cold_for: told.cold_for,
+        only_drains_bind: false,
+    }
+}
