--- a/replay/src/control.rs
+++ b/replay/src/control.rs
@@ -1,12 +1,15 @@
-//! A supervisor in a play: the real rules, the channel that their orders go through, and the sums that they hear.
+//! A supervisor in a play: the real rules, the plane that their orders go through, and the sums that they hear.
 
 use crate::queue::Time;
-use crate::table::{Level, Table};
+use crate::table::{Level, Table, Version};
 use otterwinch::host::{Host, Id, Products, Retry};
 use otterwinch::rules::Rules;
 use otterwinch::time::{Moment, Span};
 use otterwinch_fleet::model::Supervisors;
+use rustc_hash::FxHashMap;
 use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::sync::Arc;
 
 /// Moments count from here, so that a node that started before the play has a time to have started at.
 const ORIGIN: i64 = 1_000_000_000_000;
@@ -20,29 +23,42 @@
 pub struct Desk {
     pub orders: Vec<Order>,
     pub wakes: Vec<(Span, u64)>,
+    places: Rc<FxHashMap<Id, u32>>,
 }
 
+/// An order, its node by its place.
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Order {
-    Line(u32, Id, f64),
-    Bind(u32, u32),
-    Withdraw(Id, bool),
-    Level(u32, Products, f64, Retry),
+    Line { tbl: u32, node: u32, weight: f64 },
+    Bind { forwarder: u32, tbl: u32 },
+    Withdraw { node: u32, out: bool },
+    Level { tbl: u32, products: Products, share: f64, retry: Retry },
     Mark(u32),
 }
 
+impl Desk {
+    pub fn new(places: Rc<FxHashMap<Id, u32>>) -> Self {
+        Desk { places, ..Desk::default() }
+    }
+}
+
 impl Host for Desk {
     fn line(&mut self, tbl: u32, server: &Id, weight: f64) {
-        self.orders.push(Order::Line(tbl, server.clone(), weight));
+        if let Some(node) = self.places.get(server).copied() {
+            self.orders.push(Order::Line { tbl, node, weight });
+        }
     }
     fn bind(&mut self, proxy: u32, tbl: u32) {
-        self.orders.push(Order::Bind(proxy, tbl));
+        self.orders.push(Order::Bind { forwarder: proxy, tbl });
     }
     fn withdraw(&mut self, server: &Id, out: bool) {
-        self.orders.push(Order::Withdraw(server.clone(), out));
+        if let Some(node) = self.places.get(server).copied() {
+            self.orders.push(Order::Withdraw { node, out });
+        }
     }
     fn forget(&mut self, _server: &Id) {}
     fn level(&mut self, tbl: u32, products: Products, admitted: f64, retry: Retry) {
-        self.orders.push(Order::Level(tbl, products, admitted, retry));
+        self.orders.push(Order::Level { tbl, products, share: admitted, retry });
     }
     fn mark(&mut self, number: u32) {
         self.orders.push(Order::Mark(number));
@@ -79,15 +95,21 @@
 
 pub struct Supervisor {
     pub rules: Rules<Desk>,
+    pub plane: Plane,
+    pub sums: Sums,
+    /// Orders of this instant wait to be gathered.
+    pub gathers: bool,
+}
+
+/// What stands between a supervisor and its forwarders: tables, who is on which, who is barred, and the channel.
+pub struct Plane {
     pub tables: BTreeMap<u32, Table>,
     pub barred: BTreeSet<u32>,
     /// The table of each forwarder that is bound, by its number.
     pub bound: BTreeMap<u32, u32>,
     pub joined: BTreeSet<u32>,
-    pub sums: Sums,
-    /// Orders of this instant wait to be gathered.
-    pub gathers: bool,
-    channel: Channel,
+    pub channel: Channel,
+    products: usize,
 }
 
 /// Messages leave one after the other, at so many lines a second.
@@ -114,45 +136,33 @@
     }
 }
 
-impl Supervisor {
-    pub fn new(rules: Rules<Desk>, told: &Supervisors, products: usize) -> Self {
-        let channel = Channel {
-            lines_per_s: told.lines_per_s,
-            head: told.head_lines,
-            free: 0,
-            most: 0.0,
-            lines: 0.0,
-            messages: 0,
-        };
-        Supervisor {
-            rules,
-            tables: BTreeMap::new(),
-            barred: BTreeSet::new(),
-            bound: BTreeMap::new(),
-            joined: BTreeSet::new(),
-            sums: Sums::new(products),
-            gathers: false,
-            channel,
-        }
+/// A moment's messages: lines by forwarder, and the mark that they carry.
+pub struct Gathered {
+    pub lines: BTreeMap<u32, f64>,
+    pub mark: Option<u32>,
+}
+
+impl Plane {
+    pub fn new(told: &Supervisors, products: usize) -> Self {
+        let (lines_per_s, head) = (told.lines_per_s, told.head_lines);
+        let channel = Channel { lines_per_s, head, free: 0, most: 0.0, lines: 0.0, messages: 0 };
+        let (tables, barred) = (BTreeMap::new(), BTreeSet::new());
+        Plane { tables, barred, bound: BTreeMap::new(), joined: BTreeSet::new(), channel, products }
     }
 
-    pub fn channel(&self) -> &Channel {
-        &self.channel
+    fn table(&mut self, tbl: u32) -> &mut Table {
+        let products = self.products;
+        self.tables.entry(tbl).or_insert_with(|| Table::new(products))
     }
 
-    pub fn channel_mut(&mut self) -> &mut Channel {
-        &mut self.channel
+    pub fn leaves(&mut self, forwarder: u32) {
+        self.joined.remove(&forwarder);
+        self.bound.remove(&forwarder);
     }
 
-    /// Takes a moment's orders into the tables as they stand here, and counts the lines that each forwarder will be sent.
-    /// `place` finds a node by its id, `standing` tells whether an unbound forwarder's own table has it.
-    pub fn take(
-        &mut self,
-        products: usize,
-        place: impl Fn(&Id) -> Option<u32>,
-        standing: impl Fn(u32, u32) -> bool,
-    ) -> Gathered {
-        let orders = std::mem::take(&mut self.rules.host().orders);
+    /// Takes a moment's orders into the tables as they stand here, and counts the lines that each forwarder will be
+    /// sent. `standing` tells whether an unbound forwarder's own table has a node.
+    pub fn take(&mut self, orders: Vec<Order>, standing: impl Fn(u32, u32) -> bool) -> Gathered {
         let mut lines: BTreeMap<u32, f64> = BTreeMap::new();
         let mut marks = Vec::new();
         let users = |bound: &BTreeMap<u32, u32>, tbl: u32| -> Vec<u32> {
@@ -160,9 +170,8 @@
         };
         for order in orders {
             match order {
-                Order::Line(tbl, id, weight) => {
-                    let Some(node) = place(&id) else { continue };
-                    let table = self.tables.entry(tbl).or_insert_with(|| Table::new(products));
+                Order::Line { tbl, node, weight } => {
+                    let table = self.table(tbl);
                     if weight > 0.0 {
                         table.lines.insert(node, weight);
                     } else {
@@ -171,18 +180,18 @@
                     table.changed();
                     users(&self.bound, tbl).into_iter().for_each(|f| *lines.entry(f).or_default() += 1.0);
                 }
-                Order::Bind(forwarder, tbl) => {
+                Order::Bind { forwarder, tbl } => {
                     if !self.joined.contains(&forwarder) {
                         continue;
                     }
-                    let table = self.tables.entry(tbl).or_insert_with(|| Table::new(products));
-                    let barred = table.lines.keys().filter(|node| self.barred.contains(node)).count();
-                    let levels = table.levels.iter().flatten().count();
-                    *lines.entry(forwarder).or_default() += (1 + table.lines.len() + levels + barred) as f64;
+                    let table = self.table(tbl);
+                    let held = table.lines.len() + table.levels.iter().flatten().count();
+                    let on: Vec<u32> = table.lines.keys().copied().collect();
+                    let barred = on.iter().filter(|node| self.barred.contains(node)).count();
+                    *lines.entry(forwarder).or_default() += (1 + held + barred) as f64;
                     self.bound.insert(forwarder, tbl);
                 }
-                Order::Withdraw(id, out) => {
-                    let Some(node) = place(&id) else { continue };
+                Order::Withdraw { node, out } => {
                     if out {
                         self.barred.insert(node);
                     } else {
@@ -199,9 +208,10 @@
                         }
                     }
                 }
-                Order::Level(tbl, set, share, retry) => {
-                    let table = self.tables.entry(tbl).or_insert_with(|| Table::new(products));
-                    let of = (0..products).filter(|k| set == 0 || set >> k & 1 == 1);
+                Order::Level { tbl, products, share, retry } => {
+                    let count = self.products;
+                    let table = self.table(tbl);
+                    let of = (0..count).filter(|k| products == 0 || products >> k & 1 == 1);
                     of.for_each(|k| table.levels[k] = Some(Level { share, retry }));
                     table.changed();
                     users(&self.bound, tbl).into_iter().for_each(|f| *lines.entry(f).or_default() += 1.0);
@@ -212,10 +222,11 @@
         lines.values_mut().for_each(|lines| *lines += marks.len() as f64);
         Gathered { lines, mark: marks.pop() }
     }
-}
 
-/// A moment's messages: lines by forwarder, and the mark that they carry.
-pub struct Gathered {
-    pub lines: BTreeMap<u32, f64>,
-    pub mark: Option<u32>,
+    /// What a forwarder holds by now: its table, if it is bound.
+    pub fn version(&mut self, forwarder: u32) -> Option<Arc<Version>> {
+        let tbl = self.bound.get(&forwarder)?;
+        let Plane { tables, barred, .. } = self;
+        tables.get_mut(tbl).map(|table| table.version(barred))
+    }
 }
--- a/replay/src/engine.rs
+++ b/replay/src/engine.rs
@@ -2,7 +2,7 @@
 //! is in `life.rs`, what supervisors hear and order in `word.rs`, what befalls a fleet in `mishap.rs`.
 
 use crate::charter::charter;
-use crate::control::{moment, Desk, Sums, Supervisor};
+use crate::control::{moment, Desk, Plane, Sums, Supervisor};
 use crate::happening::At;
 use crate::node::Node;
 use crate::queue::{Class, Queue, Time};
@@ -12,13 +12,14 @@
 use otterwinch::rules::Rules;
 use otterwinch::time::Span;
 use otterwinch_fleet::draws::stream;
-use otterwinch_fleet::model::{Fleet, Speed};
+use otterwinch_fleet::model::{Fleet, Group, Speed};
 use otterwinch_fleet::Due;
 use rand::seq::IndexedRandom;
 use rand::RngExt;
 use rustc_hash::FxHashMap;
 use std::collections::BTreeSet;
 use std::rc::Rc;
+use std::sync::Arc;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Supervisors and forwarders come up before the load does, so that it meets tables.
@@ -154,7 +155,7 @@
     pub hall: usize,
     pub supervisor: u32,
     pub standing: Vec<u32>,
-    pub held: Rc<Version>,
+    pub held: Arc<Version>,
     pub bound: bool,
     pub still_until: Time,
     pub pools: FxHashMap<u32, Pool>,
@@ -167,7 +168,7 @@
     pub forwarder: u32,
     pub stream: u32,
     /// The table that it is put on; none where it stays on its own.
-    pub version: Option<Rc<Version>>,
+    pub version: Option<Arc<Version>>,
     pub barred: Rc<BTreeSet<u32>>,
     pub mark: Option<u32>,
     pub lines: f64,
@@ -219,7 +220,8 @@
     pub lead: Time,
     pub queue: Queue<Event>,
     pub nodes: Vec<Node>,
-    pub places: FxHashMap<Id, u32>,
+    /// Nodes by their ids.
+    pub places: Rc<FxHashMap<Id, u32>>,
     pub forwarders: Vec<Forwarder>,
     /// Forwarders that are up, by hall.
     pub front: Vec<Vec<u32>>,
@@ -273,7 +275,6 @@
         let lead = if plan.steering == Steering::Rules { LEAD } else { 0 };
         let mut nodes = Vec::new();
         for (place, told) in fleet.groups.iter().enumerate() {
-            let mut speeds = stream(plan.seed, "speeds", place as u64);
             let mut group = told.clone();
             if plan.without.connections {
                 (group.connections, group.connection_work) = (u32::MAX, 0.0);
@@ -284,19 +285,14 @@
             if plan.without.cold {
                 (group.warm_up, group.topples) = (None, None);
             }
-            for k in 0..told.count {
-                let unit: f64 = speeds.random();
-                let speed = match &told.speed {
-                    Speed::Between(from, to) => from + (to - from) * unit,
-                    Speed::Measured(each) => each[k as usize % each.len()],
-                };
+            for (k, speed) in speeds(told, place, plan.seed).into_iter().enumerate() {
                 let id: Id = format!("{}-{k}", told.name).into();
                 // Older than the play is long ago: a node that started within it is told so.
                 let started = told.started.and_then(|ago| lead.checked_sub(us(ago)));
                 nodes.push(Node::new(id, place, &group, speed, started));
             }
         }
-        let places = (0..).zip(&nodes).map(|(k, node)| (node.id.clone(), k)).collect();
+        let places = Rc::new((0..).zip(&nodes).map(|(k, node)| (node.id.clone(), k)).collect());
         let products = fleet.products.len();
         let mut engine = Engine {
             fleet,
@@ -346,7 +342,7 @@
             let version = fixed.map(|(weights, levels)| {
                 let lines = Lines::of((0..).zip(weights[hall].iter().copied()));
                 let level = |share: &f64| Some(Level { share: *share, retry: Retry::Never });
-                Rc::new(Version { lines, levels: levels.iter().map(level).collect() })
+                Arc::new(Version { lines, levels: levels.iter().map(level).collect() })
             });
             for _ in 0..told.forwarders {
                 let place = self.forwarders.len() as u32;
@@ -355,7 +351,7 @@
                     home.sample(&mut draws, fleet.forwarders.standing as usize).copied().collect();
                 let own = || {
                     let lines = Lines::of(standing.iter().map(|node| (*node, 1.0)));
-                    Rc::new(Version { lines, levels: vec![None; products] })
+                    Arc::new(Version { lines, levels: vec![None; products] })
                 };
                 let held = version.clone().unwrap_or_else(own);
                 self.front[hall].push(place);
@@ -374,8 +370,9 @@
         }
         for k in 0..count {
             let seed = xxh3_64_with_seed(&k.to_le_bytes(), self.seed);
-            let rules = Rules::open(Desk::default(), charter(fleet), seed, moment(0));
-            let mut supervisor = Supervisor::new(rules, &fleet.supervisors, products);
+            let rules = Rules::open(Desk::new(self.places.clone()), charter(fleet), seed, moment(0));
+            let (plane, sums) = (Plane::new(&fleet.supervisors, products), Sums::new(products));
+            let mut supervisor = Supervisor { rules, plane, sums, gathers: false };
             let listed: Vec<Listing> = self.nodes.iter().map(listing).collect();
             supervisor.rules.list_whole(moment(0), &listed);
             self.supervisors.push(supervisor);
@@ -484,7 +481,7 @@
             toppled: node.toppled,
         };
         let nodes = self.nodes.iter_mut().enumerate().map(|(k, n)| node(k, n)).collect();
-        let channels = || self.supervisors.iter().map(Supervisor::channel);
+        let channels = || self.supervisors.iter().map(|s| &s.plane.channel);
         Outcome {
             most_waiting: channels().map(|channel| channel.most).fold(0.0, f64::max),
             lines: channels().map(|channel| channel.lines).sum(),
@@ -499,6 +496,19 @@
     }
 }
 
+/// The speed of each node of a group, drawn from the seed or as measured.
+pub fn speeds(group: &Group, place: usize, seed: u64) -> Vec<f64> {
+    let mut draws = stream(seed, "speeds", place as u64);
+    let one = |k: u32| {
+        let unit: f64 = draws.random();
+        match &group.speed {
+            Speed::Between(from, to) => from + (to - from) * unit,
+            Speed::Measured(each) => each[k as usize % each.len()],
+        }
+    };
+    (0..group.count).map(one).collect()
+}
+
 /// What the list says of a node.
 pub(crate) fn listing(node: &Node) -> Listing {
     Listing {
--- a/replay/src/lib.rs
+++ b/replay/src/lib.rs
@@ -6,7 +6,7 @@
 //! node, `table.rs` what forwarders hold, `control.rs` a supervisor, `tally.rs` what it came to.
 
 mod charter;
-mod control;
+pub mod control;
 mod engine;
 mod happening;
 mod life;
@@ -18,5 +18,5 @@
 mod word;
 
 pub use charter::charter;
-pub use engine::{play, NodeOutcome, Outcome, Plan, Steering, Without};
+pub use engine::{play, speeds, NodeOutcome, Outcome, Plan, Steering, Without};
 pub use happening::{At, Happening};
--- a/replay/src/table.rs
+++ b/replay/src/table.rs
@@ -2,7 +2,7 @@
 
 use otterwinch::host::Retry;
 use std::collections::{BTreeMap, BTreeSet};
-use std::rc::Rc;
+use std::sync::Arc;
 
 /// Lines ready to be picked from, with whoever is barred left out.
 #[derive(Clone, Debug, Default)]
@@ -71,7 +71,7 @@
 pub struct Table {
     pub lines: BTreeMap<u32, f64>,
     pub levels: Vec<Option<Level>>,
-    version: Option<Rc<Version>>,
+    version: Option<Arc<Version>>,
 }
 
 impl Table {
@@ -84,12 +84,12 @@
     }
 
     /// The table as it stands, barred nodes left out.
-    pub fn version(&mut self, barred: &BTreeSet<u32>) -> Rc<Version> {
+    pub fn version(&mut self, barred: &BTreeSet<u32>) -> Arc<Version> {
         let Table { lines, levels, version } = self;
         let fresh = || {
             let kept = lines.iter().filter(|(node, _)| !barred.contains(node));
             let lines = Lines::of(kept.map(|(node, weight)| (*node, *weight)));
-            Rc::new(Version { lines, levels: levels.clone() })
+            Arc::new(Version { lines, levels: levels.clone() })
         };
         version.get_or_insert_with(fresh).clone()
     }
--- a/replay/src/word.rs
+++ b/replay/src/word.rs
@@ -7,6 +7,7 @@
 use otterwinch::host::Listing;
 use otterwinch::time::{Moment, Span};
 use std::rc::Rc;
+use std::sync::Arc;
 
 impl Engine<'_> {
     /// Tells a supervisor something, and sees to what it asks for.
@@ -37,7 +38,7 @@
             return;
         }
         let rate = self.usual_rate(hall);
-        self.supervisors[supervisor as usize].joined.insert(number);
+        self.supervisors[supervisor as usize].plane.joined.insert(number);
         self.hears(supervisor, |s, now| s.rules.proxy_joined(now, number, hall as u32, rate, fresh));
     }
 
@@ -46,9 +47,7 @@
         forwarder.stream += 1;
         let supervisor = forwarder.supervisor;
         if supervisor != NONE {
-            let s = &mut self.supervisors[supervisor as usize];
-            s.joined.remove(&number);
-            s.bound.remove(&number);
+            self.supervisors[supervisor as usize].plane.leaves(number);
             self.hears(supervisor, |s, _| s.rules.proxy_left(number));
         }
     }
@@ -109,17 +108,17 @@
 
     /// A moment's orders become one message for each forwarder that they reach, and these leave one after the other.
     pub(crate) fn gathers(&mut self, number: u32) {
-        let products = self.fleet.products.len();
-        let Engine { supervisors, places, forwarders, .. } = self;
+        let Engine { supervisors, forwarders, .. } = self;
         let supervisor = &mut supervisors[number as usize];
         supervisor.gathers = false;
+        let orders = std::mem::take(&mut supervisor.rules.host().orders);
         let standing = |f: u32, node: u32| forwarders[f as usize].standing.contains(&node);
-        let gathered = supervisor.take(products, |id| places.get(id).copied(), standing);
-        let barred = Rc::new(supervisor.barred.clone());
+        let plane = &mut supervisor.plane;
+        let gathered = plane.take(orders, standing);
+        let barred = Rc::new(plane.barred.clone());
         for (forwarder, lines) in gathered.lines {
-            let left = supervisor.channel_mut().put(self.now, lines);
-            let tbl = supervisor.bound.get(&forwarder).copied();
-            let version = tbl.and_then(|tbl| supervisor.tables.get_mut(&tbl)).map(|tbl| tbl.version(&barred));
+            let left = plane.channel.put(self.now, lines);
+            let version = plane.version(forwarder);
             let stream = forwarders[forwarder as usize].stream;
             let (barred, mark) = (barred.clone(), gathered.mark);
             let message = Message { supervisor: number, forwarder, stream, version, barred, mark, lines };
@@ -152,7 +151,7 @@
                 let kept = forwarder.standing.iter().filter(|node| !message.barred.contains(node));
                 let lines = Lines::of(kept.map(|node| (*node, 1.0)));
                 let levels = forwarder.held.levels.clone();
-                forwarder.held = Rc::new(Version { lines, levels });
+                forwarder.held = Arc::new(Version { lines, levels });
             }
             None => {}
         }
