Lines to proxies that the news named anew are counted until they are bound again

Change: a proxy keeps 'reached' from its bind until it has left; users, room and the ledger go by it, binds by 'bound'. Catches whatever names a joined proxy again. It overcounts for one that did leave unseen, until its bind.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -180,7 +180,11 @@
         // Where crossing zones costs or is barred, each zone's proxies have a table of their own.
         let zoned = self.charter.crossing_costs || self.charter.products.iter().any(|p| p.own_zone);
         let (tbl, home) = if zoned { (1 + zone, Some(zone)) } else { (0, None) };
-        self.proxies.insert(proxy, Proxy { rate, joined: now, fresh: fresh && !known, tbl, bound: false });
+        // Rule 5: one told of anew while it is joined may never have left; until it is bound again its table's
+        // lines reach it as before.
+        let stood = self.proxies.get(&proxy).is_some_and(|p| p.reached && p.tbl == tbl);
+        let fresh = fresh && !known;
+        self.proxies.insert(proxy, Proxy { rate, joined: now, fresh, tbl, bound: false, reached: stood });
         self.tbls.entry(tbl).or_insert(Tbl { home, afar: 1.0, ..Tbl::default() });
         // Rule 3: until it is bound it holds tables that are not ours, with servers that may have left.
         self.servers.values_mut().for_each(|s| s.told = false);
@@ -423,7 +427,7 @@
     fn publish(&mut self, now: Moment, due: bool) -> bool {
         let (mut changed, mut hasty) = (Vec::new(), BTreeSet::new());
         for number in self.tbls.keys().copied().collect::<Vec<_>>() {
-            let users = self.proxies.values().filter(|p| p.bound && p.tbl == number).count() as f64;
+            let users = self.proxies.values().filter(|p| p.reached && p.tbl == number).count() as f64;
             let changes = self.changes(now, number, users);
             if users > 0.0 {
                 // Who left first goes first.
@@ -438,7 +442,7 @@
         let goes = |n: usize, c: &Change| c.urgent && hasty[..n].contains(&c.id);
         let lines = |n, c: &Vec<Change>| c.iter().filter(|c| goes(n, c)).count() as f64;
         let cost = |n| changed.iter().map(|(_, users, c)| users * (head + lines(n, c))).sum::<f64>();
-        let mut n = Self::piece(hasty.len(), self.room(now, true, |p| p.bound), cost);
+        let mut n = Self::piece(hasty.len(), self.room(now, true, |p| p.reached), cost);
         // Many small pieces would cost more in heads than they carry.
         if n < hasty.len() && cost(n) < self.charter.most_waiting * PIECE {
             n = 0;
@@ -455,7 +459,7 @@
                 self.look();
                 continue;
             }
-            let room = self.room(now, false, |p| p.bound && p.tbl == number) / users;
+            let room = self.room(now, false, |p| p.reached && p.tbl == number) / users;
             let room = room - if urgent == 0 { head } else { urgent as f64 } - self.levels.len() as f64;
             late |= (room as usize) < rest;
             if urgent == 0 && (room < 0.0 || (room as usize) < rest && room < head) {
@@ -532,7 +536,7 @@
         }
         if orders > 0 {
             tbl.sent = now;
-            for (proxy, _) in self.proxies.iter().filter(|(_, p)| p.bound && p.tbl == number) {
+            for (proxy, _) in self.proxies.iter().filter(|(_, p)| p.reached && p.tbl == number) {
                 self.ledger.note(now, *proxy, f64::from(orders), self.charter.message_head);
             }
             self.tell_strays(now, back);
@@ -557,7 +561,8 @@
                 || fresh && now - joined >= JOIN_BUDGET
             {
                 self.host.bind(proxy, number);
-                self.proxies.get_mut(&proxy).expect("just read").bound = true;
+                let bound = self.proxies.get_mut(&proxy).expect("just read");
+                (bound.bound, bound.reached) = (true, true);
                 self.ledger.note(now, proxy, lines, head);
             } else if self.held.wakes.insert(HEARTBEAT) {
                 self.host.wake(HEARTBEAT_EVERY * (0.8 + 0.4 * self.chance.unit()), HEARTBEAT);
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -253,7 +253,7 @@
     let ids: Vec<String> = (10..last).map(|k| k.to_string()).collect();
     let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
     let mut rules = running(Charter { messages_most: 0, message_head, ..charter() }, &ids, 30);
-    rules.proxies.values_mut().for_each(|p| p.bound = true);
+    rules.proxies.values_mut().for_each(|p| (p.bound, p.reached) = (true, true));
     rules
 }
 
@@ -285,6 +285,20 @@
     assert_eq!(rules.host.count("bind 0 0"), 1);
 }
 
+/// As when the news was reopened: nobody left, and the relay goes on sending them their table's lines.
+#[test]
+fn lines_to_proxies_told_of_anew_are_still_counted() {
+    let mut rules = running(charter(), &["a", "b"], 4);
+    (0..4).for_each(|proxy| rules.proxy_joined(at(1.0), proxy, 0, 10.0, false));
+    let before = rules.ledger.ordered;
+    let heavier = Listing { weight: 3.0, ..listing("b", 0, Ready, None) };
+    rules.list_changed(at(1.01), &[heavier]);
+    let lines = rules.host.count("line") as f64;
+    assert!(rules.ledger.ordered - before >= 4.0 * lines);
+    rules.woke(at(3.0), TURN);
+    assert!(rules.host.weight(0, "b") == Some(3.0));
+}
+
 /// Messages to proxy 0 at these moments.
 fn messages(rules: &mut Rules<crate::testing::Recorder>, moments: impl Iterator<Item = f64>) {
     moments.for_each(|moment| rules.ledger.note(at(moment), 0, 1.0, 0.0));
--- a/src/state.rs
+++ b/src/state.rs
@@ -81,6 +81,8 @@
     pub fresh: bool,
     pub tbl: u32,
     pub bound: bool,
+    /// Lines of its table come to it, as far as we know: it is bound, or was and may be still.
+    pub reached: bool,
 }
 
 #[derive(Default)]
