Each call of a moment carries its mark, and a slow channel's marked moments are all kept

No answer to a mark tells anything for 10 s.

Checked: the marks go out (fence in the calls) and are answered (waiting falls by 18000 a second once the channel is fast). The moments of 50 ms that wait in a channel of 8 s are 160, the ledger kept 128 (KEPT), and each answer is for one already dropped. Besides: a call of over 60000 bytes is cut, the mark goes with the last part only, and proxies reached by both parts are sent two heads where the ledger counts one (orders.rs, body): a backlog undercounted by up to a head for each proxy. 17.1 to 17.9: bar told all strays anew each 50 ms, 2000 to 4900 lines a time, each under the twentieth that went at once.

Change: moments that asked nobody are dropped when the next begins, up to 2048 marked ones are kept (what waits bounds them); a call is cut between tables, and each part carries the mark; strays are told at once only while the channel is all but idle, else together; small pieces of withdrawals wait as those of lines do.

Tests: each_call_of_a_marked_moment_is_marked, a_call_is_cut_between_tables_where_it_can_be; the ledger's follow.

Open: the slow channel of herd.

--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -39,9 +39,10 @@
 }
 
 impl Ledger {
-    /// Replies kept for an answer; an older one that never came is covered by any later one. Each holds a row a
-    /// proxy: with 400 of them a long day of unmarked messages would fill megabytes.
-    const KEPT: usize = 128;
+    /// Replies kept for an answer: those that asked for one. What waits bounds them, for each message is longer
+    /// than its head; this is for answers that never come. A slow channel holds hundreds of moments: where only
+    /// the latest are known, no answer tells anything until all older ones are through.
+    const KEPT: usize = 2048;
 
     pub fn new(pace: f64) -> Self {
         Ledger { pace, ..Ledger::default() }
@@ -59,6 +60,10 @@
             if self.waiting(now) <= 0.0 {
                 self.replies.clear();
             }
+            // Nobody was asked about it: it is among the lines before the next.
+            if self.replies.back().is_some_and(|reply| reply.number == 0) {
+                self.replies.pop_back();
+            }
             let (before, lines) = (self.ordered, BTreeMap::new());
             self.replies.push_back(Reply { at: now, number: 0, before, lines });
             self.replies.drain(..self.replies.len().saturating_sub(Self::KEPT));
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -477,11 +477,8 @@
         let cost =
             |n| changed.iter().map(|(_, users, c)| users.len() as f64 * each(lines(n, c))).sum::<f64>();
         let reached = self.proxies_that(|p| p.reached);
-        let mut n = Self::piece(whole, self.room(now, true, &reached), cost);
-        // Many small pieces would cost more in heads than they carry.
-        if n < whole && cost(n) < self.charter.most_waiting * PIECE {
-            n = 0;
-        }
+        let room = self.room(now, true, &reached);
+        let n = self.piece(whole, room, cost);
         let paid = self.ledger.ordered + if n > 0 { cost(n) } else { 0.0 };
         let mut late = n < whole;
         let due = due && !late;
@@ -511,14 +508,19 @@
         late
     }
 
-    /// The most that costs no more than there is room for; each more costs more.
-    fn piece(whole: usize, room: f64, cost: impl Fn(usize) -> f64) -> usize {
+    /// The most that costs no more than there is room for; each more costs more. Many small pieces would cost
+    /// more in heads than they carry.
+    fn piece(&self, whole: usize, room: f64, cost: impl Fn(usize) -> f64) -> usize {
         let (mut fits, mut not) = (0, whole + 1);
         while not - fits > 1 {
             let half = (fits + not) / 2;
             (fits, not) = if cost(half) <= room { (half, not) } else { (fits, half) };
         }
-        fits
+        if fits < whole && cost(fits) < self.charter.most_waiting * PIECE {
+            0
+        } else {
+            fits
+        }
     }
 
     /// Rule 3 at proxies with tables that are not ours, which only a withdrawal reaches, until a bind rids them
@@ -528,14 +530,16 @@
         let leaving = self.leaving();
         let (whole, since) = (self.strays_cost(leaving.len()), self.held.barring.unwrap_or(now));
         let patience = (self.charter.drain_grace - self.charter.way_most) * PATIENCE;
-        if whole > self.charter.most_waiting * MARKED_FROM && now - since < patience {
+        // Else each moment's few would cost all who wait a message.
+        let idle = whole + self.ledger.waiting(now) <= self.charter.most_waiting * MARKED_FROM;
+        if !idle && whole > 0.0 && now - since < patience {
             self.held.barring = Some(since);
             self.look();
             return false;
         }
         let unbound = self.proxies_that(|p| !p.bound);
         let room = self.room(now, true, &unbound);
-        let n = Self::piece(leaving.len(), room, |n| self.strays_cost(n));
+        let n = self.piece(leaving.len(), room, |n| self.strays_cost(n));
         for id in &leaving[..n] {
             let server = self.servers.get_mut(id).expect("a listed server");
             (server.out, server.told) = (true, true);
--- a/supervisor/src/desk.rs
+++ b/supervisor/src/desk.rs
@@ -21,8 +21,9 @@
 pub enum About {
     Bind(u32),
     Line(u32, Id),
+    Level(u32),
+    Withdrawal,
     Mark,
-    Other,
 }
 
 pub struct Desk {
@@ -149,7 +150,7 @@
             self.withdrawn.remove(server);
         }
         let order = json!({"op": if out { "eject" } else { "uneject" }, "endpoint": &**server});
-        self.say(self.checks.withdrawal(server), order, About::Other);
+        self.say(self.checks.withdrawal(server), order, About::Withdrawal);
     }
 
     fn forget(&mut self, server: &Id) {
@@ -162,7 +163,7 @@
         let (routes, policy) = (self.routes(products), retry as u8);
         let order =
             json!({"op": "gate", "table": tbl, "routes": routes, "admit": admitted, "policy": policy});
-        self.say(self.checks.level(tbl, admitted), order, About::Other);
+        self.say(self.checks.level(tbl, admitted), order, About::Level(tbl));
     }
 
     fn mark(&mut self, number: u32) {
--- a/supervisor/src/orders.rs
+++ b/supervisor/src/orders.rs
@@ -50,11 +50,11 @@
     /// Sends what is in hand, in calls that are not too long, until all is taken or something stops it.
     pub async fn deliver(&mut self) -> Fate {
         while !self.in_hand.is_empty() {
-            let (body, count) = body(&self.in_hand);
+            let (body, count, marks) = body(&self.in_hand);
             self.calls += 1;
-            match self.call(body, count).await {
+            match self.call(body, count + marks).await {
                 Ok(taken) => {
-                    self.in_hand.drain(..taken);
+                    self.in_hand.drain(..taken.min(count));
                     if taken < count {
                         if let Some(declined) = self.in_hand.pop_front() {
                             return Fate::Declined(declined);
@@ -96,12 +96,27 @@
     }
 }
 
-/// As many orders as one call holds, and their number.
-fn body(orders: &VecDeque<Order>) -> (String, usize) {
+/// As many orders as one call holds, their number, and that of the marks put behind them.
+///
+/// Each call is a message of its own at the relay: whoever is reached by two of them is sent two heads, and only
+/// a call's own mark asks whom it reaches. So orders that reach the same proxies stay in one call where they
+/// fit, and the mark that ends a moment's orders ends each of their calls: else what it counts as one message
+/// is two, and of all calls but the last nobody ever tells that they came.
+fn body(orders: &VecDeque<Order>) -> (String, usize, usize) {
+    let mark = orders.back().filter(|order| matches!(order.about, About::Mark));
+    let most = MOST_BYTES - mark.map_or(0, |mark| mark.text.len() + 1);
     let mut text = String::from(r#"{"changes":["#);
-    let mut count = 0;
+    // Where the last group of orders that reach the same proxies began.
+    let (mut count, mut group) = (0, (0, text.len()));
     for order in orders {
-        if count > 0 && text.len() + order.text.len() + 3 > MOST_BYTES {
+        if count > 0 && !together(&orders[count - 1].about, &order.about) {
+            group = (count, text.len());
+        }
+        if count > 0 && text.len() + order.text.len() + 3 > most {
+            if group.0 > 0 {
+                count = group.0;
+                text.truncate(group.1);
+            }
             break;
         }
         if count > 0 {
@@ -110,20 +125,53 @@
         text.push_str(&order.text);
         count += 1;
     }
+    let cut = mark.filter(|_| count < orders.len());
+    if let Some(mark) = cut {
+        text.push(',');
+        text.push_str(&mark.text);
+    }
     text.push_str("]}");
-    (text, count)
+    (text, count, usize::from(cut.is_some()))
+}
+
+/// Whether two orders, one right after the other, reach the same proxies.
+fn together(one: &About, next: &About) -> bool {
+    match (one, next) {
+        (About::Line(a, _) | About::Level(a), About::Line(b, _) | About::Level(b)) => a == b,
+        (About::Withdrawal, About::Withdrawal) | (_, About::Mark) => true,
+        _ => false,
+    }
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
 
+    fn order(about: About) -> Order {
+        Order { text: format!("\"{}\"", "x".repeat(20_000)), about }
+    }
+
+    fn cut(orders: impl IntoIterator<Item = About>) -> (usize, usize) {
+        let (text, count, marks) = body(&orders.into_iter().map(order).collect());
+        assert!(text.len() <= MOST_BYTES);
+        let sent: Value = serde_json::from_str(&text).unwrap();
+        assert_eq!(sent["changes"].as_array().unwrap().len(), count + marks);
+        (count, marks)
+    }
+
     #[test]
     fn a_call_that_would_be_too_long_is_cut_between_orders() {
-        let order = || Order { text: format!("\"{}\"", "x".repeat(20_000)), about: About::Other };
-        let orders: VecDeque<Order> = (0..4).map(|_| order()).collect();
-        let (text, count) = body(&orders);
-        assert_eq!((count, text.len() <= MOST_BYTES), (2, true));
-        assert!(serde_json::from_str::<Value>(&text).is_ok());
+        assert_eq!(cut((0..4).map(About::Bind)), (2, 0));
+    }
+
+    #[test]
+    fn a_call_is_cut_between_tables_where_it_can_be() {
+        assert_eq!(cut([About::Bind(1), About::Level(7), About::Level(7)]), (1, 0));
+        assert_eq!(cut([About::Level(7), About::Level(7), About::Level(7)]), (2, 0));
+    }
+
+    #[test]
+    fn each_call_of_a_marked_moment_is_marked() {
+        assert_eq!(cut([About::Bind(1), About::Bind(2), About::Bind(3), About::Mark]), (1, 1));
     }
 }
--- a/supervisor/src/planner.rs
+++ b/supervisor/src/planner.rs
@@ -194,7 +194,7 @@
                         About::Line(tbl, id) => {
                             self.guarded(now, Box::new(move |rules, _| rules.line_declined(tbl, &id)));
                         }
-                        About::Mark | About::Other => {}
+                        About::Level(_) | About::Withdrawal | About::Mark => {}
                     }
                     self.rules.host().again = self.lost;
                 }
