What can't wait goes once the queue is short, so that waves of drains share a message

Checked: the whole cost, 137000 lines, is more than the channel carries in that time (112000); half of it is heads, a message to each bound proxy at each of four waves 1.7 s apart, put into a queue of 8 s.

Change: in a queue that is served in order, what is laid in early comes no sooner, and what leaves meanwhile costs another message. So drains and withdrawals go once the queue is short, all at once; and what can wait is laid in only as far as it keeps the channel busy until answers to marks come (three times a message's longest way).

Test: what_cannot_wait_is_gathered_while_the_queue_is_long.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -57,6 +57,7 @@
 const ORDINARY_LINES: f64 = 0.08;
 const ORDINARY_MESSAGES: f64 = 0.5;
 const BURST: usize = 3;
+const IN_FLIGHT: f64 = 3.0;
 const PACE_TRUSTED: f64 = 0.04;
 const MARKED_FROM: f64 = 0.05;
 /// The part of the fleet whose leaving at once must find room, and of the grace's lines it may take; how far
@@ -439,7 +440,10 @@
         // binds can wait longest: each takes what a line to all would.
         let lost = self.servers.values().filter(|s| !s.ready()).count() as f64;
         let thin = lost > self.servers.len() as f64 * THIN && self.proxies.values().any(|p| !p.bound);
-        let late = self.publish(now, now >= self.held.gathered && !thin) | self.bar(now);
+        // What can't wait goes once the queue is short: put behind a long one it comes no sooner, and what else
+        // leaves meanwhile would cost every proxy a message more.
+        let clear = self.ledger.waiting(now) <= self.lines_may_wait(false);
+        let late = self.publish(now, now >= self.held.gathered && !thin, clear) | self.bar(now, clear);
         if late {
             self.look();
         } else {
@@ -452,7 +456,7 @@
 
     /// What can't wait goes in pieces that fit and takes along what else has changed and fits; the rest is
     /// gathered, the longer the more of the channel it takes. Tells whether something found no room.
-    fn publish(&mut self, now: Moment, due: bool) -> bool {
+    fn publish(&mut self, now: Moment, due: bool, clear: bool) -> bool {
         let (mut changed, mut hasty, all) = (Vec::new(), BTreeSet::new(), self.present(now));
         let mut users = BTreeMap::<u32, Vec<u32>>::new();
         let reached = self.proxies.iter().filter(|(_, p)| p.reached);
@@ -478,7 +482,7 @@
             |n| changed.iter().map(|(_, users, c)| users.len() as f64 * each(lines(n, c))).sum::<f64>();
         let reached = self.proxies_that(|p| p.reached);
         let room = self.room(now, true, &reached);
-        let n = self.piece(whole, room, cost);
+        let n = if clear { self.piece(whole, room, cost) } else { 0 };
         let paid = self.ledger.ordered + if n > 0 { cost(n) } else { 0.0 };
         let mut late = n < whole;
         let due = due && !late;
@@ -526,7 +530,7 @@
     /// Rule 3 at proxies with tables that are not ours, which only a withdrawal reaches, until a bind rids them
     /// of those. Where many have come at once as many are bound as find room, and the others told in one
     /// message after a part of the grace. Tells whether something found no room.
-    fn bar(&mut self, now: Moment) -> bool {
+    fn bar(&mut self, now: Moment, clear: bool) -> bool {
         let leaving = self.leaving();
         let (whole, since) = (self.strays_cost(leaving.len()), self.held.barring.unwrap_or(now));
         let patience = (self.charter.drain_grace - self.charter.way_most) * PATIENCE;
@@ -539,7 +543,7 @@
         }
         let unbound = self.proxies_that(|p| !p.bound);
         let room = self.room(now, true, &unbound);
-        let n = self.piece(leaving.len(), room, |n| self.strays_cost(n));
+        let n = if clear { self.piece(leaving.len(), room, |n| self.strays_cost(n)) } else { 0 };
         for id in &leaving[..n] {
             let server = self.servers.get_mut(id).expect("a listed server");
             (server.out, server.told) = (true, true);
@@ -649,7 +653,8 @@
         (each / LEAVES_AT_ONCE).max(if bounded { least } else { f64::INFINITY }) as usize
     }
 
-    /// What can wait leaves room for a part of the fleet to leave, within the grace, with all proxies here.
+    /// What can wait leaves room for a part of the fleet to leave, within the grace, with all proxies here; and no
+    /// more is laid in than keeps the channel busy until answers to marks have come.
     fn lines_may_wait(&self, urgent: bool) -> f64 {
         let most = self.charter.most_waiting * MOST_LINES;
         let lines = self.lines_most().min(self.servers.len()) as f64;
@@ -659,7 +664,8 @@
         } else if urgent {
             most
         } else {
-            (self.in_grace() / FOR_LEAVING - kept).max(most * ORDINARY_LINES)
+            let busy = (self.charter.way_most * IN_FLIGHT).as_secs() * self.charter.channel_rate;
+            (self.in_grace() / FOR_LEAVING - kept).min(busy).max(most * ORDINARY_LINES)
         }
     }
 
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -340,6 +340,19 @@
     assert!(rules.room(at(2.0), false, &[0]) < 1.0 && rules.room(at(2.0), true, &[0]) > 4.0);
 }
 
+#[test]
+fn what_cannot_wait_is_gathered_while_the_queue_is_long() {
+    let mut rules = running(Charter { way_most: Span::secs(0.1), ..charter() }, &["a", "b", "c"], 1);
+    rules.ledger = Ledger::default();
+    rules.ledger.note(at(2.0), 0, 400.0, 0.0);
+    rules.list_changed(at(2.0), &[listing("a", 0, Draining, None)]);
+    rules.list_changed(at(2.5), &[listing("b", 0, Draining, None)]);
+    assert_eq!(rules.host.count("line"), 0);
+    rules.ledger = Ledger::default();
+    rules.turn(at(2.6));
+    assert_eq!((rules.host.weight(0, "a"), rules.host.weight(0, "b")), (Some(0.0), Some(0.0)));
+}
+
 #[test]
 fn more_than_a_queue_holds_goes_in_pieces_and_never_waits_for_ever() {
     let mut rules = crowded(10.0, 90);
