What waited for proxies that left is counted off; one is asked where all answers are lost

Cause: at 20 s n2 has just given 448 proxies back to supervisors that returned. What it had ordered for them is lost with their streams, and nobody answers its marks; Ledger::left dropped their messages' times only. The ledger holds the queue for long (it falls by the trusted pace, a 25th), and since drains wait for a short queue they wait for ever. Answers that are lost with the news do the same.

Change: rows of a proxy that left are counted off; where nothing was told for as long as the queue takes at the stated pace and twice a message's way, one proxy is bound anew with a mark, whose answer tells for all before it; a repeat counts its own moment only. It could undercount by what the trusted pace had already let go, a 25th of the pace.

Tests: what_waited_for_a_proxy_that_left_does_not_wait_any_more, where_all_answers_are_lost_one_proxy_is_asked_anew, lost_orders_that_reach_nobody_wait_for_nobodys_lines.

--- a/hostkit/src/figures.rs
+++ b/hostkit/src/figures.rs
@@ -67,7 +67,7 @@
         settle: info.at("settleUs").span(),
         report_every: info.at("reportEveryUs").span(),
         proxies: info.at("proxyCount").count(),
-        supervisors: env.at("replicasOfMe").count(),
+        connections_least: info.at("minConnCap").count(),
         standing_most: info.at("initialSet").count(),
         channel_rate: info.at("channelRate").num(),
         message_head: info.at("fixedCost").num(),
--- a/replay/src/charter.rs
+++ b/replay/src/charter.rs
@@ -24,7 +24,7 @@
         settle: Span::ZERO,
         report_every: told.report_every,
         proxies: fleet.halls.iter().map(|hall| hall.forwarders).sum(),
-        supervisors: told.count,
+        connections_least: fleet.groups.iter().map(|group| group.connections).min().unwrap_or(0),
         standing_most: fleet.forwarders.standing,
         channel_rate: told.lines_per_s,
         message_head: told.head_lines,
--- a/replay/src/word.rs
+++ b/replay/src/word.rs
@@ -48,7 +48,7 @@
         let supervisor = forwarder.supervisor;
         if supervisor != NONE {
             self.supervisors[supervisor as usize].plane.leaves(number);
-            self.hears(supervisor, |s, _| s.rules.proxy_left(number));
+            self.hears(supervisor, |s, now| s.rules.proxy_left(now, number));
         }
     }
 
--- a/src/charter.rs
+++ b/src/charter.rs
@@ -38,7 +38,8 @@
     pub report_every: Span,
     /// Proxies in all, whichever supervisor they are joined to.
     pub proxies: u32,
-    pub supervisors: u32,
+    /// Connections that the smallest servers take; 0: not told.
+    pub connections_least: u32,
     /// Servers in the table that a proxy draws at its start.
     pub standing_most: u32,
     pub channel_rate: f64,
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -23,7 +23,7 @@
 /// assert_eq!(ledger.waiting(now), 8.0);
 /// assert_eq!(ledger.waiting(now + Span::secs(1.0)), 6.0);
 /// assert_eq!(ledger.messages(now, 1, Span::secs(1.0)), (1, Some(now)));
-/// assert_eq!(ledger.again(now + Span::secs(1.0)), (8.0, Some(2)));
+/// assert_eq!(ledger.again(now + Span::secs(1.0), now), (8.0, Some(2)));
 /// assert_eq!(ledger.waiting(now + Span::secs(1.0)), 15.0);
 /// ```
 #[derive(Debug, Default)]
@@ -34,6 +34,8 @@
     pub ordered: f64,
     waiting: (f64, Moment),
     replies: VecDeque<Reply>,
+    /// When something was ordered last, or an answer told what has come.
+    pub spoken: Moment,
     sent: BTreeMap<u32, VecDeque<Moment>>,
     numbered: u32,
 }
@@ -76,12 +78,13 @@
             self.sent.entry(proxy).or_default().push_back(now);
         }
         (self.waiting, self.ordered) = ((self.waiting(now) + lines, now), self.ordered + lines);
+        self.spoken = now;
     }
 
-    /// The latest moment's messages once more, as ones of this moment: they may leave twice. Tells lines
-    /// and number.
-    pub fn again(&mut self, now: Moment) -> (f64, Option<u32>) {
-        let lines = self.replies.back().map(|reply| reply.lines.clone()).unwrap_or_default();
+    /// A moment's messages once more, as ones of this moment: they may leave twice. Tells lines and number.
+    pub fn again(&mut self, now: Moment, moment: Moment) -> (f64, Option<u32>) {
+        let latest = self.replies.back().filter(|reply| reply.at == moment);
+        let lines = latest.map(|reply| reply.lines.clone()).unwrap_or_default();
         lines.iter().for_each(|(proxy, lines)| self.note(now, *proxy, *lines, 0.0));
         (lines.values().sum(), self.mark(now))
     }
@@ -105,7 +108,7 @@
             self.replies.drain(..place);
             self.replies[0].before += self.replies[0].lines.remove(&proxy).unwrap_or(0.0);
             let left = self.ordered - self.replies[0].before;
-            self.waiting = (self.waiting(now).min(left), now);
+            (self.waiting, self.spoken) = ((self.waiting(now).min(left), now), now);
         }
     }
 
@@ -122,7 +125,10 @@
             + self.sent.values().map(VecDeque::len).sum::<usize>()
     }
 
-    pub fn left(&mut self, proxy: u32) {
+    /// A proxy's stream broke: what waited for it is lost, and nobody will tell that it came.
+    pub fn left(&mut self, now: Moment, proxy: u32) {
         self.sent.remove(&proxy);
+        let lost: f64 = self.replies.iter_mut().filter_map(|reply| reply.lines.remove(&proxy)).sum();
+        self.waiting = ((self.waiting(now) - lost).max(0.0), now);
     }
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -195,8 +195,8 @@
         // One table where it holds the fleet and as much again; else several, an arc of the ring each.
         let whole = !self.servers.is_empty() && self.servers.len() <= self.lines_most() / 2;
         let tbl = place * ARCS + if whole { 0 } else { proxy % ARCS };
-        // Rule 5: one told of anew while it is joined may never have left; until it is bound again its table's
-        // lines reach it as before.
+        // Rule 5: one told of anew while it is joined may never have left; until it is bound again its
+        // table's lines reach it as before.
         let stood = self.proxies.get(&proxy).is_some_and(|p| p.reached && p.tbl == tbl);
         let fresh = fresh && !known;
         self.proxies.insert(proxy, Proxy { rate, joined: now, fresh, tbl, bound: false, reached: stood });
@@ -212,9 +212,9 @@
         }
     }
 
-    pub fn proxy_left(&mut self, proxy: u32) {
+    pub fn proxy_left(&mut self, now: Moment, proxy: u32) {
         self.proxies.remove(&proxy);
-        self.ledger.left(proxy);
+        self.ledger.left(now, proxy);
     }
 
     pub fn met(&mut self, now: Moment, id: &str, tries: f64, voided: f64, took: Span, over: Span) {
@@ -300,7 +300,8 @@
     }
 
     /// What a table should hold: every listed server, at listed weight but for the exceptions, and whether it
-    /// is warm. Where all proxies could not leave in time, each table holds an arc of the ring, home ones first.
+    /// is warm. Where all proxies could not leave in time, each table holds an arc of the ring, home ones
+    /// first.
     fn wanted(&mut self, number: u32, all: &Present) -> BTreeMap<Id, (f64, bool)> {
         let Some(tbl) = self.tbls.get(&number) else { return BTreeMap::new() };
         let (near, mut away): (Vec<&Part>, Vec<&Part>) =
@@ -318,8 +319,8 @@
             let due =
                 all.rates.get(&home).unwrap_or(&0.0) / all.rates.values().sum::<f64>().max(1e-9) * all.whole;
             if in_here > 0.0 && in_there > 0.0 && due > 0.0 {
-                // What carries a tenth of the zone's txns, or all that its own servers do not cover. Cold ones
-                // count short; those in the table stand for the others.
+                // What carries a tenth of the zone's txns, or all that its own servers do not cover. Cold
+                // ones count short; those in the table stand for the others.
                 let stay = (sum_near / due).min(1.0) * STAY;
                 let even = sum_away / in_there * in_here / sum_near;
                 afar = (in_here * (1.0 - stay) / (stay * in_there)).min(even).max(0.01);
@@ -408,8 +409,11 @@
     pub fn orders_lost(&mut self, now: Moment, unsure: bool) {
         self.held.unanswered = true;
         // Rule 5: were they carried out, their lines wait twice; a mark of the repeat's tells when it came.
-        let (lines, number) = if unsure { self.ledger.again(now) } else { (0.0, None) };
-        number.into_iter().for_each(|number| self.host.mark(number));
+        let (lines, number) = if unsure { self.ledger.again(now, self.held.moment) } else { (0.0, None) };
+        if let Some(number) = number {
+            self.host.mark(number);
+            self.held.moment = now;
+        }
         self.host.wake(LOOK_AGAIN + Span::secs(lines / self.charter.channel_rate.max(1.0)), REPEAT);
     }
 
@@ -436,12 +440,13 @@
             0 => {}
             _ => return self.publish_slices(now),
         }
+        self.held.moment = now;
         // Standing tables are thinned by all that leaves: before one is bare its proxy must be bound. Else
         // binds can wait longest: each takes what a line to all would.
         let lost = self.servers.values().filter(|s| !s.ready()).count() as f64;
         let thin = lost > self.servers.len() as f64 * THIN && self.proxies.values().any(|p| !p.bound);
-        // What can't wait goes once the queue is short: put behind a long one it comes no sooner, and what else
-        // leaves meanwhile would cost every proxy a message more.
+        // What can't wait goes once the queue is short: put behind a long one it comes no sooner, and what
+        // else leaves meanwhile would cost every proxy a message more.
         let clear = self.ledger.waiting(now) <= self.lines_may_wait(false);
         let late = self.publish(now, now >= self.held.gathered && !thin, clear) | self.bar(now, clear);
         if late {
@@ -449,6 +454,14 @@
         } else {
             self.bind_waiting(now);
         }
+        let waiting = self.ledger.waiting(now);
+        let through = Span::secs(waiting / self.charter.channel_rate.max(1.0)) + self.charter.way_most * 2.0;
+        if waiting > self.lines_may_wait(false) && now - self.ledger.spoken > through {
+            // All answers that were due are lost, with their proxies or with the news: one is asked anew.
+            let asked = self.proxies_that(|p| self.usable(p.tbl));
+            let place = (asked.len() as f64 * self.chance.unit()) as usize;
+            asked.get(place).into_iter().for_each(|proxy| self.bind(now, *proxy));
+        }
         if self.ledger.waiting(now) > self.charter.most_waiting * MARKED_FROM {
             self.ledger.mark(now).into_iter().for_each(|number| self.host.mark(number));
         }
@@ -527,8 +540,8 @@
         }
     }
 
-    /// Rule 3 at proxies with tables that are not ours, which only a withdrawal reaches, until a bind rids them
-    /// of those. Where many have come at once as many are bound as find room, and the others told in one
+    /// Rule 3 at proxies with tables that are not ours, which only a withdrawal reaches, until a bind rids
+    /// them of those. Where many have come at once as many are bound as find room, and the others told in one
     /// message after a part of the grace. Tells whether something found no room.
     fn bar(&mut self, now: Moment, clear: bool) -> bool {
         let leaving = self.leaving();
@@ -563,22 +576,23 @@
         left.into_iter().map(|l| l.1).collect()
     }
 
-    /// Unbound proxies with the lines and the head that so many withdrawals cost each. A standing table holds
-    /// few servers, drawn by chance; one that was laid on an earlier stream as many as ours.
-    fn strays(&self, withdrawals: usize) -> Vec<(u32, f64, f64)> {
-        let part = |lines: f64| (lines / self.servers.len().max(1) as f64 * CHANCE).min(1.0);
-        let (drawn, laid) = (part(f64::from(self.charter.standing_most)), part(self.lines_most() as f64));
-        let lines = |p: &Proxy| withdrawals as f64 * if p.fresh { drawn } else { laid };
-        let unbound = self.proxies.iter().filter(|(_, p)| !p.bound && withdrawals > 0);
-        unbound.map(|(n, p)| (*n, lines(p), self.charter.message_head * lines(p).min(1.0))).collect()
+    /// The lines and the head that so many withdrawals cost each unbound proxy. A standing table holds few
+    /// servers, drawn by chance; one that was laid on an earlier stream as many as ours.
+    fn strays(&self, withdrawals: usize) -> impl Iterator<Item = (u32, f64, f64)> + '_ {
+        let (each, head) =
+            (withdrawals as f64 * CHANCE / self.servers.len().max(1) as f64, self.charter.message_head);
+        let (drawn, laid) = (f64::from(self.charter.standing_most), self.lines_most() as f64);
+        let lines = move |p: &Proxy| (each * if p.fresh { drawn } else { laid }).min(withdrawals as f64);
+        let unbound = self.proxies.iter().filter(move |(_, p)| !p.bound && withdrawals > 0);
+        unbound.map(move |(n, p)| (*n, lines(p), head * lines(p).min(1.0)))
     }
 
     fn strays_cost(&self, withdrawals: usize) -> f64 {
-        self.strays(withdrawals).iter().map(|(_, lines, head)| lines + head).sum()
+        self.strays(withdrawals).map(|(_, lines, head)| lines + head).sum()
     }
 
     fn tell_strays(&mut self, now: Moment, withdrawals: usize) {
-        for (proxy, lines, head) in self.strays(withdrawals) {
+        for (proxy, lines, head) in self.strays(withdrawals).collect::<Vec<_>>() {
             self.ledger.note(now, proxy, lines, head);
         }
     }
@@ -627,34 +641,43 @@
             let lines = (tbl.lines.len() + tbl.levels.len() + 1) as f64;
             if now - joined < JOINS_GATHERED || waiting > 1.0 && waiting + head + lines > most {
                 self.look();
-            } else if tbl.lines.keys().any(|id| self.servers[id].ready())
-                || fresh && now - joined >= JOIN_BUDGET
-            {
-                self.host.bind(proxy, number);
-                let bound = self.proxies.get_mut(&proxy).expect("just read");
-                (bound.bound, bound.reached) = (true, true);
-                self.ledger.note(now, proxy, lines, head);
+            } else if self.usable(number) || fresh && now - joined >= JOIN_BUDGET {
+                self.bind(now, proxy);
             } else if self.held.wakes.insert(HEARTBEAT) {
                 self.host.wake(HEARTBEAT_EVERY * (0.8 + 0.4 * self.chance.unit()), HEARTBEAT);
             }
         }
     }
 
+    fn usable(&self, tbl: u32) -> bool {
+        self.tbls[&tbl].lines.keys().any(|id| self.servers[id].ready())
+    }
+
+    fn bind(&mut self, now: Moment, proxy: u32) {
+        let bound = self.proxies.get_mut(&proxy).expect("a joined proxy");
+        (bound.bound, bound.reached) = (true, true);
+        self.host.bind(proxy, bound.tbl);
+        let tbl = &self.tbls[&bound.tbl];
+        let lines = (tbl.lines.len() + tbl.levels.len() + 1) as f64;
+        self.ledger.note(now, proxy, lines, self.charter.message_head);
+    }
+
     fn in_grace(&self) -> f64 {
         self.charter.carried_in_grace().min(self.charter.most_waiting * MOST_LINES) * FOR_LEAVING
     }
 
-    /// How many lines a table may hold so that, with all proxies here, a part of the fleet can leave while the
-    /// same is still on its way.
+    /// How many lines a table may hold so that, with all proxies here, a part of the fleet can leave while
+    /// the same is still on its way.
     fn lines_most(&self) -> usize {
-        let bounded = self.charter.channel_rate * self.charter.most_waiting > 0.0;
-        let each = self.in_grace() / 2.0 / f64::from(self.charter.proxies.max(1)) - self.charter.message_head;
-        let least = f64::from(self.charter.standing_most.max(1));
-        (each / LEAVES_AT_ONCE).max(if bounded { least } else { f64::INFINITY }) as usize
+        let Charter { channel_rate, most_waiting, message_head, .. } = self.charter;
+        let proxies = f64::from(self.charter.proxies.max(1));
+        let each = (self.in_grace() / 2.0 / proxies - message_head) / LEAVES_AT_ONCE;
+        let each = if channel_rate * most_waiting > 0.0 { each } else { f64::INFINITY };
+        each.max(f64::from(self.charter.standing_most.max(1))) as usize
     }
 
-    /// What can wait leaves room for a part of the fleet to leave, within the grace, with all proxies here; and no
-    /// more is laid in than keeps the channel busy until answers to marks have come.
+    /// What can wait leaves room for a part of the fleet to leave, within the grace, with all proxies here;
+    /// and no more is laid in than keeps the channel busy until answers to marks have come.
     fn lines_may_wait(&self, urgent: bool) -> f64 {
         let most = self.charter.most_waiting * MOST_LINES;
         let lines = self.lines_most().min(self.servers.len()) as f64;
@@ -749,8 +772,8 @@
             let asked = pulse.asked.iter().sum::<f64>() / over;
             pulse.budget = pulse.budget.map(|budget| budget * RELIEF).filter(|budget| *budget < asked * 1.2);
         }
-        // What some were answered is no limit on more: whoever comes back (a hall that was cut off, proxies of a
-        // broken relay) would be turned away for as long as the budget takes to grow.
+        // What some were answered is no limit on more: whoever comes back (a hall that was cut off, proxies
+        // of a broken relay) would be turned away for as long as the budget takes to grow.
         let more = (joined / pulse.counted.max(1e-9)).max(1.0);
         let mut left = pulse.budget.map_or(f64::INFINITY, |budget| budget * more);
         let revenue = |k: &usize| self.charter.products[*k].revenue;
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -353,6 +353,25 @@
     assert_eq!((rules.host.weight(0, "a"), rules.host.weight(0, "b")), (Some(0.0), Some(0.0)));
 }
 
+#[test]
+fn where_all_answers_are_lost_one_proxy_is_asked_anew() {
+    let mut rules = running(Charter { way_most: Span::secs(0.1), ..charter() }, &["a", "b"], 2);
+    rules.ledger.note(at(2.0), 0, 400.0, 0.0);
+    rules.turn(at(2.5));
+    assert_eq!(rules.host.count("bind"), 0);
+    rules.turn(at(2.7));
+    assert_eq!((rules.host.count("bind"), rules.host.count("mark")), (1, 1));
+}
+
+#[test]
+fn what_waited_for_a_proxy_that_left_does_not_wait_any_more() {
+    let mut rules = running(charter(), &["a"], 2);
+    rules.ledger.note(at(2.0), 1, 400.0, 0.0);
+    let waited = rules.ledger.waiting(at(2.0));
+    rules.proxy_left(at(2.0), 1);
+    assert!(rules.ledger.waiting(at(2.0)) <= waited - 400.0);
+}
+
 #[test]
 fn more_than_a_queue_holds_goes_in_pieces_and_never_waits_for_ever() {
     let mut rules = crowded(10.0, 90);
@@ -588,6 +607,15 @@
     assert!(rules.ledger.waiting(at(0.2)) >= 2.0 * waiting);
 }
 
+#[test]
+fn lost_orders_that_reach_nobody_wait_for_nobodys_lines() {
+    let mut rules = running(charter(), &["a", "b"], 1);
+    let lines = rules.ledger.ordered;
+    rules.turn(at(1.0));
+    rules.orders_lost(at(1.0), true);
+    assert_eq!((rules.ledger.ordered, rules.host.said.last().unwrap().as_str()), (lines, "wake 5 50000"));
+}
+
 #[test]
 fn a_repeat_of_what_may_have_been_carried_out_is_marked_and_clears_the_queue_when_it_comes() {
     let mut rules = running(charter(), &["a", "b"], 1);
--- a/src/state.rs
+++ b/src/state.rs
@@ -154,6 +154,8 @@
     pub barring: Option<Moment>,
     /// Wake-ups under way, by label.
     pub wakes: BTreeSet<u64>,
+    /// When orders went out last.
+    pub moment: Moment,
     /// The orders of a moment came to nothing, or nobody knows, and go again.
     pub unanswered: bool,
 }
--- a/src/testing.rs
+++ b/src/testing.rs
@@ -69,7 +69,7 @@
         settle: Span::secs(0.1),
         report_every: Span::secs(1.0),
         proxies: 4,
-        supervisors: 1,
+        connections_least: 0,
         standing_most: 5,
         channel_rate: 1000.0,
         message_head: 3.0,
--- a/standin/src/inside.rs
+++ b/standin/src/inside.rs
@@ -91,7 +91,7 @@
                 Some(Word::Joined { forwarder, hall, rate, fresh }) => {
                     rules.proxy_joined(moment(Instant::now()), forwarder, hall, rate, fresh);
                 }
-                Some(Word::Left(forwarder)) => rules.proxy_left(forwarder),
+                Some(Word::Left(forwarder)) => rules.proxy_left(moment(Instant::now()), forwarder),
             },
             Some((mark, forwarder, _)) = applied.recv() => {
                 rules.applied(moment(Instant::now()), mark, forwarder);
--- a/supervisor/src/news.rs
+++ b/supervisor/src/news.rs
@@ -13,6 +13,7 @@
 use hyper::body::Bytes;
 use hyper::Method;
 use otterwinch::rules::Rules;
+use otterwinch::time::Moment;
 use otterwinch_hostkit::Fields;
 use serde_json::Value;
 use slog::{info, warn, Logger};
@@ -164,10 +165,10 @@
     };
     if value.as_object().is_some_and(|fields| fields.is_empty()) {
         if let Some(named) = named.take() {
-            ear.tell(move |rules, _| {
+            ear.tell(move |rules, now| {
                 let joined: Vec<u32> = rules.host().joined.keys().copied().collect();
                 let missing = joined.into_iter().filter(|proxy| !named.contains(proxy));
-                missing.for_each(|proxy| left(rules, proxy));
+                missing.for_each(|proxy| left(rules, now, proxy));
             })
             .await;
         }
@@ -179,9 +180,9 @@
     Ok(())
 }
 
-fn left(rules: &mut Rules<Desk>, proxy: u32) {
+fn left(rules: &mut Rules<Desk>, now: Moment, proxy: u32) {
     rules.host().left(proxy);
-    rules.proxy_left(proxy);
+    rules.proxy_left(now, proxy);
 }
 
 async fn one(
@@ -207,7 +208,7 @@
         }
         "bye" => {
             named.iter_mut().for_each(|named| _ = named.remove(&proxy));
-            ear.tell(move |rules, _| left(rules, proxy)).await;
+            ear.tell(move |rules, now| left(rules, now, proxy)).await;
         }
         "ack" => {
             let number = f.small("nonce")?;
--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -113,7 +113,7 @@
                 let px = f.small("px")?;
                 Box::new(move |rules| {
                     rules.host().checks.joined(px, false);
-                    rules.proxy_left(px);
+                    rules.proxy_left(now, px);
                 })
             }
             "HEARD" => {
