Tables are so short that no server gets more connections than the smallest take

A server of 160 to 330 connections stood in the tables of 2280 x 30 / 200 = 342 proxies.

Change: the settings tell the connections that the smallest servers take (minConnCap). A table holds no more lines than let every proxy whose table names a server keep one: so many times the ready servers by the proxies, and never less than a standing table's.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -673,7 +673,9 @@
         let proxies = f64::from(self.charter.proxies.max(1));
         let each = (self.in_grace() / 2.0 / proxies - message_head) / LEAVES_AT_ONCE;
         let each = if channel_rate * most_waiting > 0.0 { each } else { f64::INFINITY };
-        each.max(f64::from(self.charter.standing_most.max(1))) as usize
+        let conns = f64::from(self.charter.connections_least) * self.ready().count() as f64 / proxies;
+        let conns = if conns > 0.0 { conns } else { f64::INFINITY };
+        each.min(conns).max(f64::from(self.charter.standing_most.max(1))) as usize
     }
 
     /// What can wait leaves room for a part of the fleet to leave, within the grace, with all proxies here;
