Strays are barred from drained servers as soon as a lost relay takes orders again

Ruled out: the way back itself (the lost call is taken 50 ms after the first connect that comes up); the channel (13051 lines, 0.7 s).

At fault: bar's patience, a quarter of the grace for binds to rid strays of old tables, was counted from the first turn that got anything out (held.barring), and turn returned before that while a call's fate was open.

Change: the wait for strays begins when a server leaves or they join, also while no order gets out. It also catches a relay that breaks calls for long. It costs a message to each stray where the outage was longer than the patience.

Test: strays_wait_for_bars_from_when_a_server_leaves_although_no_order_gets_out.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -435,6 +435,11 @@
 
     /// All that a moment orders. Where the queue is no longer short, the proxies are asked to tell what came.
     fn turn(&mut self, now: Moment) {
+        // The grace of strays runs on while no order gets out.
+        let untold = self.held.unanswered && self.servers.values().any(|s| !s.ready() && !s.told);
+        if untold && self.proxies.values().any(|p| !p.bound) {
+            self.held.barring.get_or_insert(now);
+        }
         match self.charter.slices {
             _ if self.held.unanswered => return,
             0 => {}
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -599,6 +599,17 @@
     assert_eq!(rules.host.said[1..], ["line 0 a 0", "withdraw a true"]);
 }
 
+#[test]
+fn strays_wait_for_bars_from_when_a_server_leaves_although_no_order_gets_out() {
+    let mut rules = crowded(3.0, 20);
+    rules.ledger = Ledger::default();
+    rules.orders_lost(at(2.0), false);
+    rules.proxies.values_mut().for_each(|p| (p.bound, p.reached) = (false, false));
+    rules.list_changed(at(2.1), &[listing("12", 0, Draining, None)]);
+    rules.orders_taken(at(4.0));
+    assert_eq!(rules.host.count("withdraw 12 true"), 1);
+}
+
 #[test]
 fn orders_that_may_have_been_carried_out_count_twice() {
     let mut rules = running(charter(), &["a", "b"], 1);
