--- a/supervisor/src/main.rs
+++ b/supervisor/src/main.rs
@@ -13,6 +13,7 @@
 mod orders;
 mod papers;
 mod planner;
+mod probes;
 
 use papers::Papers;
 use planner::Planner;
