--- a/hostkit/src/checks.rs
+++ b/hostkit/src/checks.rs
@@ -63,9 +63,8 @@
         ok(fits, || format!("bind not sent: proxy {proxy}, table {tbl}"))
     }
 
-    /// For orders and questions that only name a server.
-    pub fn named(&self, server: &Id) -> Result<(), String> {
-        ok(self.known.contains(server), || format!("not sent: server {server} was never listed"))
+    pub fn withdrawal(&self, server: &Id) -> Result<(), String> {
+        ok(self.known.contains(server), || format!("withdrawal not sent: server {server} was never listed"))
     }
 
     pub fn level(&self, tbl: u32, admitted: f64) -> Result<(), String> {
--- a/hostkit/src/figures.rs
+++ b/hostkit/src/figures.rs
@@ -65,9 +65,6 @@
         single_writer: info.at("singleWriter").yes(),
         lease: info.at("keepsWritingUs").span(),
         settle: info.at("settleUs").span(),
-        tell_when_probed: env.at("bounds").at("probes").yes()
-            && env.at("reporting").at("how").word() == "probe"
-            && env.at("reporting").at("names").rows().any(|name| name.word() == "util"),
         report_every: info.at("reportEveryUs").span(),
         proxies: info.at("proxyCount").count(),
         connections_least: info.at("minConnCap").count(),
--- a/replay/src/charter.rs
+++ b/replay/src/charter.rs
@@ -22,7 +22,6 @@
         single_writer: false,
         lease: Span::ZERO,
         settle: Span::ZERO,
-        tell_when_probed: false,
         report_every: told.report_every,
         proxies: fleet.halls.iter().map(|hall| hall.forwarders).sum(),
         connections_least: fleet.groups.iter().map(|group| group.connections).min().unwrap_or(0),
--- a/replay/src/control.rs
+++ b/replay/src/control.rs
@@ -66,8 +66,6 @@
     // Calls to the relay are not lost in these plays, and the list follows without being asked.
     fn repeat(&mut self) {}
     fn follow_list(&mut self) {}
-    // Described nodes tell nobody how busy they are.
-    fn probe(&mut self, _: &Id) {}
     fn wake(&mut self, after: Span, label: u64) {
         self.wakes.push((after, label));
     }
--- a/src/charter.rs
+++ b/src/charter.rs
@@ -36,8 +36,6 @@
     pub lease: Span,
     pub settle: Span,
     pub report_every: Span,
-    /// Servers tell how busy their cores are, but only when they are asked.
-    pub tell_when_probed: bool,
     /// Proxies in all, whichever supervisor they are joined to.
     pub proxies: u32,
     /// Connections that the smallest servers take; 0: not told.
--- a/src/host.rs
+++ b/src/host.rs
@@ -56,7 +56,5 @@
     fn repeat(&mut self);
     /// Subscribes to the list.
     fn follow_list(&mut self);
-    /// Asks a server how busy its cores are. What it says is told by `Rules::busy`, if it ever comes.
-    fn probe(&mut self, server: &Id);
     fn wake(&mut self, after: Span, label: u64);
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -93,14 +93,6 @@
 const MOST_HELD_BACK: f64 = 0.35;
 const REPORT_LAG: Span = Span::from_us(2_000_000);
 
-/// Probes a txn. What is told so soon after a move is of the weight before. How many times as busy as the fleet
-/// stands out; from where cores are full, so that nobody knows by how much, and to what part such a server is cut.
-const PROBES: f64 = 0.25;
-const TOLD_LAG: Span = Span::from_us(2_500_000);
-const BUSIER: f64 = 1.12;
-const FULL: f64 = 0.93;
-const RELIEVED: f64 = 0.6;
-
 /// A struggling fleet: the middle server's hurt, or the part of tries answered; it is over at the second.
 const HURTING: (f64, f64) = (0.2, 0.15);
 const ANSWERS: (f64, f64) = (0.85, 0.92);
@@ -166,11 +158,8 @@
     }
 
     pub fn list_changed(&mut self, now: Moment, listings: &[Listing]) {
-        // A new one gets no more of its weight than is usual, or it would get more than any other.
-        let (usual, n) = self.ready().fold((0.0, 0.0), |(sum, n), (_, s)| (sum + s.spared, n + 1.0));
-        let spared = usual / f64::max(n, 1.0);
         for l in listings {
-            let new = || Server { left: now, spared, ..Server::default() };
+            let new = || Server { left: now, ..Server::default() };
             let server = self.servers.entry(l.id.clone()).or_insert_with(new);
             if l.started > server.started {
                 server.move_to(0, now);
@@ -241,14 +230,6 @@
         }
     }
 
-    /// A server tells how busy its cores are.
-    pub fn busy(&mut self, now: Moment, id: &str, busy: f64) {
-        if let Some(server) = self.servers.get_mut(id).filter(|s| now - s.judged >= TOLD_LAG) {
-            server.answers += 1;
-            server.busy += (busy - server.busy) / f64::from(server.answers.min(3));
-        }
-    }
-
     pub fn asked(&mut self, product: u32, txns: f64) {
         self.pulse.asked.get_mut(product as usize).into_iter().for_each(|asked| *asked += txns);
     }
@@ -264,8 +245,6 @@
             REPEAT => return self.host.repeat(),
             TURN => {
                 self.pulse.over = self.pulse.over + GATHER;
-                self.probe(now);
-                self.spare(now);
                 self.judge(now);
                 self.shed(now);
                 self.servers.values_mut().for_each(|s| s.tally.halve());
@@ -304,7 +283,7 @@
 
     fn parts(&self, now: Moment) -> Vec<Part> {
         let part = |(id, s): (&Id, &Server)| {
-            let (weight, warmth) = (s.weight * RUNGS[s.rung] * (1.0 - s.spared), self.warmth(now, s));
+            let (weight, warmth) = (s.weight * RUNGS[s.rung], self.warmth(now, s));
             Part { id: id.clone(), zone: s.zone, weight, warmth }
         };
         self.ready().map(part).collect()
@@ -782,34 +761,6 @@
         }
     }
 
-    /// Servers are asked how busy they are, longest ago first, as many as a part of the txns pays for.
-    fn probe(&mut self, now: Moment) {
-        let asked = self.pulse.asked.iter().sum::<f64>() / self.pulse.over.as_secs().max(0.1);
-        let most = if self.charter.tell_when_probed { asked * GATHER.as_secs() * PROBES } else { 0.0 };
-        let mut due: Vec<(Moment, Id)> = self.ready().map(|(id, s)| (s.probed, id.clone())).collect();
-        due.sort();
-        for (_, id) in due.into_iter().take(most as usize) {
-            self.servers.get_mut(&id).expect("a listed server").probed = now;
-            self.host.probe(&id);
-        }
-    }
-
-    /// Cores that are busier than the fleet's are full first, and a full server makes all its txns late: a part
-    /// of its weight is held back, and given back as it turns out less busy. None gets more than listed.
-    fn spare(&mut self, now: Moment) {
-        let told = |s: &Server| s.ready() && s.answers >= 2;
-        let all: Vec<f64> = self.servers.values().filter(|s| told(s)).map(|s| s.busy).collect();
-        let mean = (all.iter().sum::<f64>() / all.len().max(1) as f64).max(0.05);
-        for server in self.servers.values_mut().filter(|s| told(s)) {
-            let times = server.busy / mean;
-            if times > BUSIER || times < 1.0 / BUSIER && server.spared > 0.0 {
-                let step = if server.busy >= FULL { RELIEVED } else { (1.0 / times).max(RELIEVED) };
-                server.spared = 1.0 - ((1.0 - server.spared) * step.min(1.5)).clamp(0.1, 1.0);
-                server.moved(now);
-            }
-        }
-    }
-
     /// When most of the fleet hurts at once no table helps: no more is let in than it answers, products of
     /// most revenue first, the rest let back step by step. Nothing falls under a floor, lest reports lie.
     fn shed(&mut self, now: Moment) {
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -455,49 +455,6 @@
     assert!(rules.servers.values().all(|s| s.rung == 0));
 }
 
-/// Four servers that told twice how busy they are.
-fn told(busy: [f64; 4]) -> Rules<crate::testing::Recorder> {
-    let mut rules = running(charter(), &["a", "b", "c", "d"], 1);
-    for (id, busy) in ["a", "b", "c", "d"].into_iter().zip(busy) {
-        (0..2).for_each(|_| rules.busy(at(4.0), id, busy));
-    }
-    rules
-}
-
-#[test]
-fn a_server_busier_than_the_fleet_is_held_back_in_proportion_and_none_gets_more_than_listed() {
-    let mut rules = told([0.8, 0.4, 0.4, 0.4]);
-    rules.woke(at(5.0), TURN);
-    assert!((rules.host.weight(0, "a").unwrap() - 2.0 * 0.5 / 0.8).abs() < 1e-6);
-    assert_eq!(rules.host.count("line"), 1);
-}
-
-#[test]
-fn what_is_held_back_is_given_back_as_it_turns_out_less_busy() {
-    let mut rules = told([0.3, 0.5, 0.5, 0.5]);
-    rules.servers.get_mut("a").unwrap().spared = 0.5;
-    rules.spare(at(5.0));
-    assert_eq!(rules.servers["a"].spared, 0.25);
-}
-
-#[test]
-fn what_is_told_right_after_a_move_is_of_the_weight_before() {
-    let mut rules = told([0.9, 0.4, 0.4, 0.4]);
-    rules.spare(at(5.0));
-    rules.busy(at(6.0), "a", 0.9);
-    assert_eq!(rules.servers["a"].answers, 0);
-}
-
-#[test]
-fn probes_go_to_whom_was_asked_longest_ago_as_far_as_the_txns_pay() {
-    let mut rules = running(Charter { tell_when_probed: true, ..charter() }, &["a", "b", "c"], 1);
-    rules.servers.get_mut("a").unwrap().probed = at(1.0);
-    rules.asked(0, 8.0);
-    rules.pulse.over = Span::secs(1.0);
-    rules.probe(at(2.0));
-    assert_eq!(rules.host.said, ["probe b", "probe c"]);
-}
-
 #[test]
 fn a_rung_is_let_go_after_a_rest_however_late_the_timers_are() {
     for (late, rung) in [(4.0, 2), (4.004, 2), (5.0, 1), (5.02, 1)] {
--- a/src/state.rs
+++ b/src/state.rs
@@ -20,12 +20,6 @@
     pub rung: usize,
     pub strikes: u32,
     pub judged: Moment,
-    /// How busy its cores were told to be since the last move, the mean of so many answers; when it was asked.
-    pub busy: f64,
-    pub answers: u32,
-    pub probed: Moment,
-    /// The part of its weight that is held back because its cores are busier than the fleet's.
-    pub spared: f64,
 }
 
 impl Server {
@@ -41,13 +35,7 @@
     }
 
     pub fn move_to(&mut self, rung: usize, now: Moment) {
-        (self.rung, self.tally) = (rung, Histogram::default());
-        self.moved(now);
-    }
-
-    /// What is told of the weight before counts no more.
-    pub fn moved(&mut self, now: Moment) {
-        (self.judged, self.busy, self.answers) = (now, 0.0, 0);
+        (self.rung, self.judged, self.tally) = (rung, now, Histogram::default());
     }
 }
 
--- a/src/testing.rs
+++ b/src/testing.rs
@@ -46,9 +46,6 @@
     fn follow_list(&mut self) {
         self.said.push("follow".into());
     }
-    fn probe(&mut self, server: &Id) {
-        self.said.push(format!("probe {server}"));
-    }
     fn wake(&mut self, after: Span, label: u64) {
         self.said.push(format!("wake {label} {}", after.as_us()));
     }
@@ -70,7 +67,6 @@
         single_writer: false,
         lease: Span::secs(2.0),
         settle: Span::secs(0.1),
-        tell_when_probed: false,
         report_every: Span::secs(1.0),
         proxies: 4,
         connections_least: 0,
--- a/supervisor/src/collectors.rs
+++ b/supervisor/src/collectors.rs
@@ -6,7 +6,6 @@
 use crate::log::Sparing;
 use crate::papers::Names;
 use crate::planner::Ear;
-use crate::probes::MOST_BUSY;
 use futures_util::{SinkExt, StreamExt};
 use hyper::body::Bytes;
 use otterwinch::time::Span;
@@ -145,11 +144,9 @@
             let voided = f.figure("errors", 0.0..=tries)?;
             // The mean of those that were answered: none of them, no mean.
             let took = if voided < tries { f.figure("rtt", 0.0..=LONGEST_MS)? } else { 0.0 };
-            let told = value["metrics"]["util"].as_f64().filter(|busy| (0.0..=MOST_BUSY).contains(busy));
             ear.tell(move |rules, now| {
                 if rules.host().lists(&id) {
                     rules.met(now, &id, tries, voided, millis(took), over);
-                    told.into_iter().for_each(|busy| rules.busy(now, &id, busy));
                 }
             })
             .await;
--- a/supervisor/src/desk.rs
+++ b/supervisor/src/desk.rs
@@ -9,7 +9,6 @@
 use slog::{warn, Logger};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::Notify;
 
@@ -34,9 +33,6 @@
     pub follow: Rc<Notify>,
     pub orders: VecDeque<Order>,
     pub ordered: u64,
-    pub dials: BTreeMap<Id, SocketAddr>,
-    /// Servers that the rules want to be asked.
-    pub probes: Vec<(Id, SocketAddr)>,
     pub again: bool,
     /// The present moment, from which wake-ups count.
     pub now: Moment,
@@ -59,8 +55,6 @@
             follow: Rc::new(Notify::new()),
             orders: VecDeque::new(),
             ordered: 0,
-            dials: BTreeMap::new(),
-            probes: Vec::new(),
             again: false,
             now,
             wakes: BinaryHeap::new(),
@@ -111,7 +105,6 @@
     pub fn cleared(&mut self) {
         self.orders.clear();
         self.wakes.clear();
-        self.probes.clear();
         self.again = false;
     }
 
@@ -157,13 +150,12 @@
             self.withdrawn.remove(server);
         }
         let order = json!({"op": if out { "eject" } else { "uneject" }, "endpoint": &**server});
-        self.say(self.checks.named(server), order, About::Withdrawal);
+        self.say(self.checks.withdrawal(server), order, About::Withdrawal);
     }
 
     fn forget(&mut self, server: &Id) {
         self.checks.forget(server);
         self.listed.remove(server);
-        self.dials.remove(server);
         self.withdrawn.remove(server);
     }
 
@@ -186,11 +178,6 @@
         self.follow.notify_one();
     }
 
-    fn probe(&mut self, server: &Id) {
-        let dial = self.dials.get(server).map(|at| (server.clone(), *at));
-        self.probes.extend(dial);
-    }
-
     fn wake(&mut self, after: Span, label: u64) {
         self.woken += 1;
         self.wakes.push(Reverse((self.now + after, self.woken, label)));
--- a/supervisor/src/list.rs
+++ b/supervisor/src/list.rs
@@ -7,7 +7,7 @@
 use crate::planner::Ear;
 use hyper::body::Bytes;
 use hyper::{Method, StatusCode};
-use otterwinch::host::{Id, Listing, Standing};
+use otterwinch::host::{Listing, Standing};
 use otterwinch::time::Moment;
 use otterwinch_hostkit::Fields;
 use serde_json::Value;
@@ -25,17 +25,12 @@
     pub version: u64,
     pub whole: bool,
     pub listings: Vec<Listing>,
-    /// Where servers can be asked how they are; one whose place can't be read is not asked.
-    pub dials: Vec<(Id, SocketAddr)>,
 }
 
 pub fn answer(value: &Value, names: &Names) -> Result<Answer, String> {
     let f = Fields::named(value, "list")?;
-    let entries = f.list("hosts")?;
-    let listings = entries.iter().map(|entry| listing(entry, names)).collect::<Result<Vec<_>, _>>()?;
-    let dial = |(l, entry): (&Listing, &Value)| Some((l.id.clone(), entry["dial"].as_str()?.parse().ok()?));
-    let dials = listings.iter().zip(entries).filter_map(dial).collect();
-    Ok(Answer { version: f.whole("seq")?, whole: f.mark("whole"), listings, dials })
+    let listings = f.list("hosts")?.iter().map(|entry| listing(entry, names)).collect::<Result<_, _>>()?;
+    Ok(Answer { version: f.whole("seq")?, whole: f.mark("whole"), listings })
 }
 
 fn listing(entry: &Value, names: &Names) -> Result<Listing, String> {
@@ -99,7 +94,6 @@
         if told.whole || !told.listings.is_empty() {
             ear.tell(move |rules, now| {
                 rules.host().learn(&told.listings, told.whole);
-                rules.host().dials.extend(told.dials);
                 if told.whole {
                     rules.list_whole(now, &told.listings);
                 } else {
--- a/supervisor/src/main.rs
+++ b/supervisor/src/main.rs
@@ -13,7 +13,6 @@
 mod orders;
 mod papers;
 mod planner;
-mod probes;
 
 use papers::Papers;
 use planner::Planner;
--- a/supervisor/src/planner.rs
+++ b/supervisor/src/planner.rs
@@ -5,7 +5,6 @@
 use crate::errors::Came;
 use crate::orders::{Fate, Orders};
 use crate::papers::Papers;
-use crate::probes::Probes;
 use otterwinch::rules::Rules;
 use otterwinch::time::{Moment, Span};
 use otterwinch_hostkit::{caught, Checks};
@@ -83,8 +82,6 @@
     /// The relay said of the last call that it is none.
     unfit: bool,
     told: mpsc::Receiver<Told>,
-    ear: Ear,
-    probes: Probes,
     seen: Rc<Seen>,
     page: watch::Sender<String>,
     log: Logger,
@@ -102,23 +99,20 @@
         let mut rules = Rules::open(desk, papers.charter.clone(), papers.seed, now);
         rules.host().learn(&papers.known, true);
         rules.list_whole(now, &papers.known);
-        let (told_by, told) = mpsc::channel(QUEUE);
+        let (ear, told) = mpsc::channel(QUEUE);
         let seen = Rc::<Seen>::default();
-        let ear = Ear { told: told_by, seen: seen.clone() };
         let (page, shown) = watch::channel(String::from("{}"));
         let (lost, opened, lost_calls) = (false, 1, 0);
         let (paged, summed) = (now, now);
         let planner = Planner {
             rules,
-            papers: papers.clone(),
+            papers,
             clock,
             orders,
             lost,
             unfit: false,
             told,
-            ear: ear.clone(),
-            probes: Probes::at_once(papers.connections / 4 + 1),
-            seen,
+            seen: seen.clone(),
             page,
             log,
             opened,
@@ -126,7 +120,7 @@
             paged,
             summed,
         };
-        (planner, ear, shown)
+        (planner, Ear { told: ear, seen }, shown)
     }
 
     pub fn follow(&mut self) -> Rc<tokio::sync::Notify> {
@@ -149,8 +143,6 @@
             while let Some(label) = self.rules.host().due(now) {
                 self.guarded(now, Box::new(move |rules, now| rules.woke(now, label)));
             }
-            let probes = std::mem::take(&mut self.rules.host().probes);
-            self.probes.ask(probes, &self.ear);
             self.send().await;
             self.report();
         }
--- a/wirehost/src/desk.rs
+++ b/wirehost/src/desk.rs
@@ -44,7 +44,7 @@
     }
 
     fn withdraw(&mut self, server: &Id, out: bool) {
-        self.say(self.checks.named(server), "WITHDRAW", json!({"server": &**server, "set": out}));
+        self.say(self.checks.withdrawal(server), "WITHDRAW", json!({"server": &**server, "set": out}));
     }
 
     fn forget(&mut self, server: &Id) {
@@ -68,10 +68,6 @@
         self.say(Ok(()), "FOLLOW", json!({"set": true}));
     }
 
-    fn probe(&mut self, server: &Id) {
-        self.say(self.checks.named(server), "SOUND_OUT", json!({"server": &**server}));
-    }
-
     fn wake(&mut self, after: Span, label: u64) {
         let longest = 70 * 60 * 1_000_000;
         self.say(Ok(()), "TIMER", json!({"afterUs": after.as_us().clamp(1, longest), "label": label}));
--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -121,15 +121,7 @@
                 let (tries, bad) = (f.count("triesN")?, f.count("bad")?);
                 let took = Span::from_us(f.int_or("delaySeenUs", 0)?);
                 let over = Span::from_us(f.int_or("periodLenUs", 0)?);
-                let busy = busy(f);
-                Box::new(move |rules| {
-                    rules.met(now, id, tries, bad, took, over);
-                    busy.into_iter().for_each(|busy| rules.busy(now, id, busy));
-                })
-            }
-            "STATUS_BACK" => {
-                let (id, Some(busy)) = (f.text("server")?, busy(f)) else { return Ok(()) };
-                Box::new(move |rules| rules.busy(now, id, busy))
+                Box::new(move |rules| rules.met(now, id, tries, bad, took, over))
             }
             "INGRESS" => {
                 let (product, txns) = (f.small("class")?, f.count("triesN")?);
@@ -162,8 +154,8 @@
                 let (number, px) = (f.small("epoch")?, f.small("px")?);
                 Box::new(move |rules| rules.applied(now, number, px))
             }
-            // Nothing is decided by these: demand by slice and peers' words.
-            "KEY_LOAD" | "INBOX" => return Ok(()),
+            // Nothing is decided by these: probes, demand by slice and peers' words.
+            "STATUS_BACK" | "KEY_LOAD" | "INBOX" => return Ok(()),
             kind => return Err(format!("message {kind} is unknown")),
         };
         self.guarded(who, |hosted| {
@@ -191,10 +183,5 @@
     }
 }
 
-/// How busy a server's cores are, where a load report tells it.
-fn busy(f: &Fields) -> Option<f64> {
-    f.value("telemetry").ok()?.get("util")?.as_f64().filter(|busy| busy.is_finite() && *busy >= 0.0)
-}
-
 #[cfg(test)]
 mod tests;
--- a/wirehost/src/tests.rs
+++ b/wirehost/src/tests.rs
@@ -79,19 +79,6 @@
     assert_eq!(reply(&mut hosted).lines().count(), 1);
 }
 
-#[test]
-fn what_a_probe_tells_of_cores_is_heard_and_one_without_is_passed_over() {
-    let mut hosted = up_with(&["a:1"]);
-    for odd in
-        ["", r#","telemetry":{"queue":3}"#, r#","telemetry":{"util":-1}"#, r#","telemetry":{"util":0.5}"#]
-    {
-        hosted
-            .take(format!(r#"{{"kind":"STATUS_BACK","who":3,"server":"a:1","code":"ok"{odd}}}"#).as_bytes())
-            .unwrap();
-    }
-    assert_eq!(reply(&mut hosted).lines().count(), 1);
-}
-
 #[test]
 fn a_panic_ends_one_instance_and_says_so() {
     let mut hosted = up_with(&[]);
