Inline test modules move to files of their own

The text of each moved as it stands, less four blanks of indent: a diff of each old module against its new file is empty.

--- a/replay/src/queue.rs
+++ b/replay/src/queue.rs
@@ -125,41 +125,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn events_of_one_instant_come_by_class_and_then_in_the_order_of_asking() {
-        let mut queue = Queue::default();
-        queue.push(5, Class::Orders, 'd');
-        queue.push(5, Class::World, 'a');
-        queue.push(5, Class::Word, 'c');
-        queue.push(5, Class::World, 'b');
-        let came: String = std::iter::from_fn(|| queue.pop()).map(|(_, event)| event).collect();
-        assert_eq!(came, "abcd");
-    }
-
-    #[test]
-    fn the_wheel_yields_what_a_heap_would() {
-        // Near, far and in the open slot, asked for while time goes on.
-        let (mut queue, mut heap) = (Queue::default(), BinaryHeap::new());
-        let (mut now, mut order, mut state) = (0u64, 0u64, 9u64);
-        for event in 0..20_000u64 {
-            state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-            let reach = [300, 5_000, 900_000, 40_000_000][(state >> 33) as usize % 4];
-            let at = now + (state >> 20) % reach;
-            order += 1;
-            queue.push(at, Class::World, event);
-            heap.push(Entry { at, order, event });
-            if state >> 60 < 7 {
-                let (got, expected) = (queue.pop(), heap.pop().map(|entry| (entry.at, entry.event)));
-                assert_eq!(got, expected);
-                now = got.map_or(now, |got| got.0);
-            }
-        }
-        while let Some(expected) = heap.pop() {
-            assert_eq!(queue.pop(), Some((expected.at, expected.event)));
-        }
-        assert!(queue.pop().is_none() && queue.is_empty());
-    }
-}
+mod tests;
--- a/supervisor/src/front.rs
+++ b/supervisor/src/front.rs
@@ -181,17 +181,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use tokio::io::AsyncWriteExt;
-
-    /// Why frames do not go through axum: the first byte of one ends an HTTP connection.
-    #[tokio::test]
-    async fn an_http_parser_ends_the_connection_at_a_frames_first_byte() {
-        let (mut ours, theirs) = tokio::io::duplex(1024);
-        ours.write_all(b"\0\0\0\x0f{\"msg\":\"probe\"}").await.unwrap();
-        let page = TowerToHyperService::new(router(watch::channel(String::new()).1));
-        let ended = http1::Builder::new().serve_connection(TokioIo::new(theirs), page).await;
-        assert!(ended.unwrap_err().is_parse());
-    }
-}
+mod tests;
--- a/supervisor/src/orders.rs
+++ b/supervisor/src/orders.rs
@@ -144,34 +144,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn order(about: About) -> Order {
-        Order { text: format!("\"{}\"", "x".repeat(20_000)), about }
-    }
-
-    fn cut(orders: impl IntoIterator<Item = About>) -> (usize, usize) {
-        let (text, count, marks) = body(&orders.into_iter().map(order).collect());
-        assert!(text.len() <= MOST_BYTES);
-        let sent: Value = serde_json::from_str(&text).unwrap();
-        assert_eq!(sent["changes"].as_array().unwrap().len(), count + marks);
-        (count, marks)
-    }
-
-    #[test]
-    fn a_call_that_would_be_too_long_is_cut_between_orders() {
-        assert_eq!(cut((0..4).map(About::Bind)), (2, 0));
-    }
-
-    #[test]
-    fn a_call_is_cut_between_tables_where_it_can_be() {
-        assert_eq!(cut([About::Bind(1), About::Level(7), About::Level(7)]), (1, 0));
-        assert_eq!(cut([About::Level(7), About::Level(7), About::Level(7)]), (2, 0));
-    }
-
-    #[test]
-    fn each_call_of_a_marked_moment_is_marked() {
-        assert_eq!(cut([About::Bind(1), About::Bind(2), About::Bind(3), About::Mark]), (1, 1));
-    }
-}
+mod tests;
--- /dev/null
+++ b/supervisor/src/planner/tests.rs
@@ -0,0 +1,64 @@
+use super::*;
+use otterwinch::host::{Listing, Standing};
+use slog::{o, Discard};
+
+fn planner() -> Planner {
+    let papers = json!({"name": "n1", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "7",
+        "relay": {"address": "127.0.0.1:2"},
+        "known": {"seq": 4, "whole": true, "hosts": [{"host": "a", "site": "north", "health": "active"}]},
+        "settings": {"zones": ["north"], "classes": [{"name": "quote", "promiseUs": 1_000_000}]}});
+    let papers = Papers::read(&papers, |_| None).unwrap();
+    let orders = Orders::to(watch::channel(papers.relay).1);
+    Planner::open(Rc::new(papers), orders, Logger::root(Discard, o!())).0
+}
+
+#[test]
+fn rules_that_break_are_opened_anew_and_bind_who_stands() {
+    let mut planner = planner();
+    let now = planner.clock.now();
+    planner.rules.host().joined(3, 0, 5.0);
+    planner.guarded(now, Box::new(|_, _| panic!("index out of range")));
+    let later = now + Span::secs(1.0);
+    planner.rules.woke(later, 4);
+    let orders = &planner.rules.host().orders;
+    assert_eq!(orders.iter().filter(|o| o.text.contains(r#""node":3"#)).count(), 1);
+}
+
+#[test]
+fn a_server_that_broken_rules_had_barred_is_let_back_in() {
+    let mut planner = planner();
+    let now = planner.clock.now();
+    let gone = Listing { id: "a".into(), ..Listing::default() };
+    planner.rules.host().learn(std::slice::from_ref(&gone), false);
+    planner.rules.list_changed(now, std::slice::from_ref(&gone));
+    planner.open_anew(now);
+    let back = Listing { weight: 1.0, standing: Standing::Ready, ..gone };
+    planner.rules.proxy_joined(now, 3, 0, 5.0, true);
+    planner.rules.list_changed(now + Span::secs(1.0), &[back]);
+    let orders = &planner.rules.host().orders;
+    assert!(orders.iter().any(|o| o.text.contains("uneject")));
+}
+
+#[test]
+fn a_server_that_left_as_the_rules_broke_is_barred() {
+    let mut planner = planner();
+    let now = planner.clock.now();
+    planner.rules.proxy_joined(now, 3, 0, 5.0, true);
+    planner.rules.woke(now + Span::secs(1.0), 4);
+    planner.rules.host().learn(&[], true);
+    planner.open_anew(now + Span::secs(1.0));
+    let orders = &planner.rules.host().orders;
+    assert_eq!(orders.iter().filter(|o| o.text.contains(r#""eject""#)).count(), 1);
+}
+
+#[test]
+fn wake_ups_come_in_the_order_of_their_time() {
+    use otterwinch::host::Host;
+    let mut planner = planner();
+    let desk = planner.rules.host();
+    desk.cleared();
+    desk.wake(Span::secs(2.0), 8);
+    desk.wake(Span::secs(1.0), 9);
+    let late = desk.now + Span::secs(3.0);
+    assert_eq!([desk.due(late), desk.due(late), desk.due(late)], [Some(9), Some(8), None]);
+}
