A server that was let back in and leaves again is barred again

Seen: a forced test on sockets, a server that drains, returns and drains again: its second drain ordered 'put w=0' and no 'eject'.

Ruled out: the list (both changes were told), the relay (nothing was declined), the room (an idle channel).

At fault: Rules::send clears `out` as it lets a server back in and leaves `told` set, and Rules::leaving passes over who is told. Only a proxy that joined meanwhile cleared it (proxy_joined). It takes a list that flaps and an unbound proxy at the same time.

Change: both marks go together.

Test: a_server_that_was_let_back_in_is_barred_again_when_it_leaves_again; without it left: ["withdraw a true", "withdraw a false"] right: ["withdraw a true", "withdraw a false", "withdraw a true"]

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -476,9 +476,8 @@
     /// gathered, the longer the more of the channel it takes. Tells whether something found no room.
     fn publish(&mut self, now: Moment, due: bool, clear: bool) -> bool {
         let (mut changed, mut hasty, all) = (Vec::new(), BTreeSet::new(), self.present(now));
-        let mut users = BTreeMap::<u32, Vec<u32>>::new();
-        let reached = self.proxies.iter().filter(|(_, p)| p.reached);
-        reached.for_each(|(proxy, p)| users.entry(p.tbl).or_default().push(*proxy));
+        let (mut users, reached) = (BTreeMap::<u32, Vec<u32>>::new(), self.proxies_that(|p| p.reached));
+        reached.iter().for_each(|proxy| users.entry(self.proxies[proxy].tbl).or_default().push(*proxy));
         for number in self.tbls.keys().copied().collect::<Vec<_>>() {
             let users = users.remove(&number).unwrap_or_default();
             let changes = self.changes(now, number, users.len() as f64, &all);
@@ -498,7 +497,6 @@
         let each = |lines: f64| if lines > 0.0 { head + lines } else { 0.0 };
         let cost =
             |n| changed.iter().map(|(_, users, c)| users.len() as f64 * each(lines(n, c))).sum::<f64>();
-        let reached = self.proxies_that(|p| p.reached);
         let room = self.room(now, true, &reached);
         let n = if clear { self.piece(whole, room, cost) } else { 0 };
         let paid = self.ledger.ordered + if n > 0 { cost(n) } else { 0.0 };
@@ -608,7 +606,7 @@
         for Change { id, weight, .. } in changes {
             // One that returns is let back in with its first line, not before: until then it may be cold.
             if let Some(server) = self.servers.get_mut(&id).filter(|s| s.out && s.ready()) {
-                server.out = false;
+                (server.out, server.told) = (false, false);
                 self.host.withdraw(&id, false);
                 back += 1;
             }
@@ -642,8 +640,7 @@
         queue.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         for (_, _, proxy) in queue {
             let Proxy { tbl: number, joined, fresh, .. } = self.proxies[&proxy];
-            let (tbl, waiting) = (&self.tbls[&number], self.ledger.waiting(now));
-            let lines = (tbl.lines.len() + tbl.levels.len() + 1) as f64;
+            let (lines, waiting) = (self.tbls[&number].sent_by_a_bind(), self.ledger.waiting(now));
             if now - joined < JOINS_GATHERED || waiting > 1.0 && waiting + head + lines > most {
                 self.look();
             } else if self.usable(number) || fresh && now - joined >= JOIN_BUDGET {
@@ -662,8 +659,7 @@
         let bound = self.proxies.get_mut(&proxy).expect("a joined proxy");
         (bound.bound, bound.reached) = (true, true);
         self.host.bind(proxy, bound.tbl);
-        let tbl = &self.tbls[&bound.tbl];
-        let lines = (tbl.lines.len() + tbl.levels.len() + 1) as f64;
+        let lines = self.tbls[&bound.tbl].sent_by_a_bind();
         self.ledger.note(now, proxy, lines, self.charter.message_head);
     }
 
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -610,6 +610,17 @@
     assert_eq!(rules.host.count("withdraw 12 true"), 1);
 }
 
+#[test]
+fn a_server_that_was_let_back_in_is_barred_again_when_it_leaves_again() {
+    let mut rules = running(charter(), &["a", "b"], 1);
+    for (now, standing) in [(2.0, Draining), (4.0, Ready), (6.0, Draining)] {
+        rules.list_changed(at(now), &[listing("a", 0, standing, None)]);
+        rules.woke(at(now + 1.0), TURN);
+    }
+    let bars: Vec<&String> = rules.host.said.iter().filter(|said| said.starts_with("withdraw")).collect();
+    assert_eq!(bars, ["withdraw a true", "withdraw a false", "withdraw a true"]);
+}
+
 #[test]
 fn orders_that_may_have_been_carried_out_count_twice() {
     let mut rules = running(charter(), &["a", "b"], 1);
--- a/src/state.rs
+++ b/src/state.rs
@@ -49,6 +49,13 @@
     pub levels: BTreeMap<usize, f64>,
 }
 
+impl Tbl {
+    /// Lines that a proxy is sent as it is put on this table, the head left out.
+    pub fn sent_by_a_bind(&self) -> f64 {
+        (self.lines.len() + self.levels.len() + 1) as f64
+    }
+}
+
 pub struct Change {
     pub id: Id,
     pub weight: f64,
