An entry of the list that can't be read costs no other; a lost answer is asked for again at once

Seen, forced on sockets against the old program: one entry without a name, or with a share of -1, and the whole answer was thrown away: 'list lost ... field host is missing', asked again 0.35 to 1.05 s later, thrown away again, for as long as the entry stood. A drain in the same answer never went out ('a call to the relay: Timeout'). A change with a lower seq was believed and its seq kept. A list that counts anew was never followed. An answer that was cut cost up to 1.05 s, of a grace of 1 to 1.5 s.

At fault: list::answer collects into one Result; follow believes any seq; Rules::list_failed paces the first failure as all others.

Change: an entry that can't be read is left out alone, counted, logged sparingly with its place. In a whole list its server stays as it was listed last. Where it has no name nobody is taken for missing, and the list is asked for whole again; so it is after a change that could not be read, for no later answer tells of it. Who drains or is gone is left whatever else is amiss in its entry. A change older than what is known is dropped and the whole list asked for. The first failure is answered at once, those within 1.4 s of it with the pause they had. It costs one more call a failure. Entries of the configuration's own list are still refused, each by its place.

Tests, on sockets: supervisor/tests/sockets/list.rs. In the module: the_first_failure_of_the_list_is_answered_at_once_and_those_right_after_it_with_a_pause.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -174,9 +174,12 @@
         self.turn(now);
     }
 
-    /// A call to the list failed or the subscription dropped: what is known stays, and it is asked again.
-    pub fn list_failed(&mut self) {
-        self.host.wake(SUBSCRIBE_AGAIN * (0.5 + self.chance.unit()), SUBSCRIBE);
+    /// A call to the list failed or the subscription dropped: what is known stays, and it is asked again, the
+    /// first time at once: a drain that was told meanwhile has its grace running.
+    pub fn list_failed(&mut self, now: Moment) {
+        let again = self.held.list_failed.replace(now).is_some_and(|l| now - l < SUBSCRIBE_AGAIN * 2.0);
+        let pause = if again { SUBSCRIBE_AGAIN * (0.5 + self.chance.unit()) } else { Span::ZERO };
+        self.host.wake(pause, SUBSCRIBE);
     }
 
     fn ready(&self) -> impl Iterator<Item = (&Id, &Server)> {
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -515,10 +515,20 @@
 #[test]
 fn a_failed_list_call_is_made_again() {
     let mut rules = running(Charter { list_on_request: true, ..charter() }, &["a"], 1);
-    rules.list_failed();
+    rules.list_failed(at(3.0));
     assert_eq!(rules.host.count("wake 3 "), 1);
 }
 
+#[test]
+fn the_first_failure_of_the_list_is_answered_at_once_and_those_right_after_it_with_a_pause() {
+    let mut rules = running(Charter { list_on_request: true, ..charter() }, &["a"], 1);
+    for (now, at_once) in [(3.0, true), (3.1, false), (4.2, false), (6.0, true)] {
+        rules.host.said.clear();
+        rules.list_failed(at(now));
+        assert_eq!(rules.host.said == ["wake 3 0"], at_once, "at {now}: {:?}", rules.host.said);
+    }
+}
+
 #[test]
 fn reports_for_servers_never_listed_are_passed_over() {
     let mut rules = running(charter(), &["a"], 1);
--- a/src/state.rs
+++ b/src/state.rs
@@ -159,6 +159,8 @@
     pub gathered: Moment,
     /// Since when proxies with tables that are not ours are to be told of servers that left.
     pub barring: Option<Moment>,
+    /// When the list failed last.
+    pub list_failed: Option<Moment>,
     /// Wake-ups under way, by label.
     pub wakes: BTreeSet<u64>,
     /// When orders went out last.
--- a/supervisor/src/desk.rs
+++ b/supervisor/src/desk.rs
@@ -73,6 +73,11 @@
         self.listed.extend(listings.iter().map(|listing| (listing.id.clone(), listing.clone())));
     }
 
+    /// What was listed last of some servers, as far as they are listed.
+    pub fn last_listed(&self, ids: impl Iterator<Item = Id>) -> Vec<Listing> {
+        ids.filter_map(|id| self.listed.get(&id)).filter(|l| l.standing != Standing::Gone).cloned().collect()
+    }
+
     /// Whether a server is listed, or was lately.
     pub fn lists(&self, id: &str) -> bool {
         self.listed.contains_key(id)
--- a/supervisor/src/list.rs
+++ b/supervisor/src/list.rs
@@ -1,13 +1,14 @@
 //! The list of servers: read whole once, then watched. A call that fails is reported to the rules, which say
-//! when to ask again.
+//! when to ask again. What can't be read of an answer is left out alone: the last good state of it stands.
 
 use crate::client::Peer;
 use crate::errors::{Came, Failed};
+use crate::log::Sparing;
 use crate::papers::Names;
 use crate::planner::Ear;
 use hyper::body::Bytes;
 use hyper::{Method, StatusCode};
-use otterwinch::host::{Listing, Standing};
+use otterwinch::host::{Id, Listing, Standing};
 use otterwinch::time::Moment;
 use otterwinch_hostkit::Fields;
 use serde_json::Value;
@@ -25,31 +26,52 @@
     pub version: u64,
     pub whole: bool,
     pub listings: Vec<Listing>,
+    pub spoilt: Vec<Spoilt>,
+}
+
+/// An entry that can't be used: why, and of which server it tells where that much can be read.
+pub struct Spoilt {
+    pub id: Option<Id>,
+    pub why: String,
 }
 
 pub fn answer(value: &Value, names: &Names) -> Result<Answer, String> {
     let f = Fields::named(value, "list")?;
-    let listings = f.list("hosts")?.iter().map(|entry| listing(entry, names)).collect::<Result<_, _>>()?;
-    Ok(Answer { version: f.whole("seq")?, whole: f.mark("whole"), listings })
+    let (version, whole) = (f.whole("seq")?, f.mark("whole"));
+    let (mut listings, mut spoilt) = (Vec::new(), Vec::new());
+    for (place, entry) in f.list("hosts")?.iter().enumerate() {
+        match listing(entry, names) {
+            Ok(listing) => listings.push(listing),
+            Err(why) => {
+                let id = entry.get("host").and_then(Value::as_str).map(Id::from);
+                spoilt.push(Spoilt { id, why: format!("entry {place}: {why}") });
+            }
+        }
+    }
+    Ok(Answer { version, whole, listings, spoilt })
 }
 
 fn listing(entry: &Value, names: &Names) -> Result<Listing, String> {
     let f = Fields::named(entry, "list entry")?;
+    let id = f.text("host")?.into();
     let standing = match f.text("health")? {
         "active" => Standing::Ready,
         "leaving" => Standing::Draining,
         "left" => Standing::Gone,
         other => return Err(format!("list entry: field 'health' is unknown: '{other}'")),
     };
-    let born = f.int_or("born_ms", 0)?;
-    Ok(Listing {
-        id: f.text("host")?.into(),
-        // A zone that the settings do not name is far from all that they do.
-        zone: if f.has("site") { names.zone(f.text("site")?).unwrap_or(u32::MAX) } else { 0 },
-        weight: if f.has("share") { f.count("share")? } else { 1.0 },
-        standing,
-        started: (born > 0).then(|| Moment::from_us(born.saturating_mul(1000))),
-    })
+    // A zone that the settings do not name is far from all that they do.
+    let zone = |text| names.zone(text).unwrap_or(u32::MAX);
+    let zone = if f.has("site") { f.text("site").map(zone) } else { Ok(0) };
+    let weight = if f.has("share") { f.count("share") } else { Ok(1.0) };
+    let born = f.int_or("born_ms", 0);
+    let (zone, weight, born) = match standing {
+        Standing::Ready => (zone?, weight?, born?),
+        // Whatever else is amiss: it is to be left, and the grace runs.
+        Standing::Draining | Standing::Gone => (zone.unwrap_or(0), weight.unwrap_or(1.0), born.unwrap_or(0)),
+    };
+    let started = (born > 0).then(|| Moment::from_us(born.saturating_mul(1000)));
+    Ok(Listing { id, zone, weight, standing, started })
 }
 
 /// Follows the list for ever; `follow` is the rules' word to ask, at the start and after a failure. A list that
@@ -62,7 +84,7 @@
     log: Logger,
 ) {
     let mut peer = Peer::at(*place.borrow_and_update());
-    let (mut version, mut lost, mut asking) = (None, false, false);
+    let (mut version, mut lost, mut asking, mut odd) = (None, false, false, Sparing::default());
     loop {
         let told = tokio::select! {
             () = follow.notified(), if !asking => {
@@ -76,14 +98,16 @@
                 continue;
             }
         };
-        let told = match told {
+        let told = match told.and_then(|told| newer(told, version)) {
             Ok(told) => told,
             Err(failed) => {
                 if !std::mem::replace(&mut lost, true) {
                     warn!(log, "list lost"; "why" => %failed, "version" => version);
                 }
+                // What can't be read may have been a change, and no later one tells of it again.
+                version = version.filter(|_| failed.came != Came::Answered);
                 asking = false;
-                ear.tell(|rules, _| rules.list_failed()).await;
+                ear.tell(|rules, now| rules.list_failed(now)).await;
                 continue;
             }
         };
@@ -91,17 +115,44 @@
             info!(log, "list found"; "version" => told.version, "servers" => told.listings.len());
         }
         version = Some(told.version);
-        if told.whole || !told.listings.is_empty() {
+        let Answer { whole, mut listings, spoilt, .. } = told;
+        for Spoilt { why, .. } in &spoilt {
+            ear.seen.dropped.more();
+            if let Some(times) = odd.due() {
+                warn!(log, "list entry left out"; "why" => why, "times" => times);
+            }
+        }
+        // A server that is there and can't be read is not one that is missing. Where not even its name can be
+        // read nobody is taken for missing, and the list is asked for whole again.
+        let nameless = spoilt.iter().any(|entry| entry.id.is_none());
+        let missed = nameless || !whole && !spoilt.is_empty();
+        if whole || !listings.is_empty() {
             ear.tell(move |rules, now| {
-                rules.host().learn(&told.listings, told.whole);
-                if told.whole {
-                    rules.list_whole(now, &told.listings);
+                if whole && !nameless {
+                    listings
+                        .extend(rules.host().last_listed(spoilt.into_iter().filter_map(|entry| entry.id)));
+                    rules.host().learn(&listings, true);
+                    rules.list_whole(now, &listings);
                 } else {
-                    rules.list_changed(now, &told.listings);
+                    rules.host().learn(&listings, false);
+                    rules.list_changed(now, &listings);
                 }
             })
             .await;
         }
+        if missed {
+            (version, asking) = (None, false);
+            ear.tell(|rules, now| rules.list_failed(now)).await;
+        }
+    }
+}
+
+/// A change older than what is known was held up on its way, or comes from a list that counts anew: only the
+/// whole list tells which.
+fn newer(told: Answer, version: Option<u64>) -> Result<Answer, Failed> {
+    match version.filter(|known| !told.whole && told.version < *known) {
+        Some(_) => Err(Failed::new(Came::Answered, format!("a change of version {}", told.version))),
+        None => Ok(told),
     }
 }
 
--- a/supervisor/src/papers.rs
+++ b/supervisor/src/papers.rs
@@ -119,6 +119,9 @@
             .value("known")
             .and_then(|v| list::answer(v, &names).map_err(|e| format!("papers: field 'known': {e}")));
         let known = faults.none_in(known);
+        for entry in known.iter().flat_map(|known| &known.spoilt) {
+            faults.unless(false, || format!("papers: field 'known': {}", entry.why));
+        }
         let limit = |name: &str, absent: u64| match f.value("limits") {
             Ok(limits) if limits.get(name).is_some() => {
                 Fields::named(limits, "papers: 'limits'")?.whole(name)
--- a/supervisor/tests/sockets/common.rs
+++ b/supervisor/tests/sockets/common.rs
@@ -49,14 +49,33 @@
 }
 
 fn answer(to: &mut TcpStream, status: &str, body: &str) {
-    let _ = write!(to, "HTTP/1.1 {status}\r\ncontent-length: {}\r\n\r\n{body}", body.len());
+    let _ = to.write_all(text_of(status, body).as_bytes());
 }
 
 /// The same, a few bytes at a time.
 fn answer_in_pieces(to: &mut TcpStream, body: &str) {
     let _ = to.set_nodelay(true);
-    let whole = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len());
-    whole.as_bytes().chunks(9).for_each(|piece| _ = to.write_all(piece).and_then(|()| to.flush()));
+    text_of("200 OK", body)
+        .as_bytes()
+        .chunks(9)
+        .for_each(|piece| _ = to.write_all(piece).and_then(|()| to.flush()));
+}
+
+/// The whole text of an answer.
+fn text_of(status: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status}\r\ncontent-length: {}\r\n\r\n{body}", body.len())
+}
+
+/// So many bytes of an answer, and the end.
+fn cut(to: &mut TcpStream, body: &str, after: usize) {
+    let text = text_of("200 OK", body);
+    let _ = to.write_all(&text.as_bytes()[..after.min(text.len() - 1)]);
+    let _ = to.shutdown(Shutdown::Both);
+}
+
+/// The connection is reset as soon as its last descriptor is closed.
+fn reset_at_close(to: &TcpStream) {
+    socket2::SockRef::from(to).set_linger(Some(Duration::ZERO)).unwrap();
 }
 
 /// Accepts for ever; each connection has a thread and lives while `serve` says so.
@@ -92,6 +111,18 @@
     Breaks,
     /// Reads the call and says nothing.
     IsSilent,
+    /// Reads the call and answers once it is told to.
+    Holds,
+    /// Reads the call and resets the connection.
+    Resets,
+    /// Takes all, and the answer ends after so many bytes.
+    CutsAfter(usize),
+    /// Takes all and says so twice.
+    AnswersTwice,
+    /// Says that it took more than it was sent.
+    TakesTooMany,
+    /// Answers what is no HTTP.
+    Babbles,
     /// Answers what can't be read.
     Mumbles,
     Throttles,
@@ -106,6 +137,8 @@
     plan: Arc<Mutex<VecDeque<Does>>>,
     news: Arc<Mutex<(Vec<String>, Vec<TcpStream>)>>,
     reached: Arc<AtomicBool>,
+    /// Answers that may be given of those held back.
+    released: Arc<(Mutex<usize>, Condvar)>,
 }
 
 fn chunk(to: &mut TcpStream, text: &str) -> bool {
@@ -119,6 +152,8 @@
         let (told, calls): (Sender<Vec<Value>>, _) = channel();
         let (plans, opens, silent) = (plan.clone(), news.clone(), Arc::new(Mutex::new(Vec::new())));
         let reached = Arc::new(AtomicBool::new(true));
+        let released: Arc<(Mutex<usize>, Condvar)> = Arc::default();
+        let releases = released.clone();
         let (life_reached, opens_reached) = (reached.clone(), reached.clone());
         let address = stand_in(move |first, body, to| {
             if first.starts_with("GET /v3/kv/stream") {
@@ -148,6 +183,23 @@
                 Does::TakesInPieces => answer_in_pieces(to, &json!({"taken": all}).to_string()),
                 Does::TakesOnly(n) => answer(to, "200 OK", &json!({"taken": n}).to_string()),
                 Does::Breaks => _ = to.shutdown(Shutdown::Both),
+                Does::Holds => {
+                    let (free, told) = &*releases;
+                    let held = told.wait_timeout_while(free.lock().unwrap(), LIMIT, |free| *free == 0);
+                    *held.unwrap().0 -= 1;
+                    answer(to, "200 OK", &json!({"taken": all}).to_string());
+                }
+                Does::Resets => {
+                    reset_at_close(to);
+                    return false;
+                }
+                Does::CutsAfter(bytes) => cut(to, &json!({"taken": all}).to_string(), bytes),
+                Does::AnswersTwice => {
+                    let text = text_of("200 OK", &json!({"taken": all}).to_string());
+                    let _ = to.write_all(text.repeat(2).as_bytes());
+                }
+                Does::TakesTooMany => answer(to, "200 OK", &json!({"taken": all + 1}).to_string()),
+                Does::Babbles => _ = to.write_all(b"\0\xff no answer at all\r\n\r\n"),
                 Does::IsSilent => silent.lock().unwrap().push(to.try_clone().unwrap()),
                 Does::Mumbles => answer(to, "200 OK", "{\"tak"),
                 Does::CannotUseIt => answer(to, "400 Bad Request", r#"{"error":"invalid"}"#),
@@ -162,7 +214,13 @@
                 life.lock().unwrap().1.retain_mut(|to| chunk(to, "{}\n"));
             }
         });
-        Relay { address, calls: Arc::new(Mutex::new(calls)), plan, news, reached }
+        Relay { address, calls: Arc::new(Mutex::new(calls)), plan, news, reached, released }
+    }
+
+    /// Gives one answer that is held back.
+    pub fn releases(&self) {
+        *self.released.0.lock().unwrap() += 1;
+        self.released.1.notify_one();
     }
 
     /// No sign of life from now on, and no answer to who would open the news.
@@ -183,6 +241,13 @@
         news.0.push(line);
     }
 
+    /// Breaks the news off; on reopening it opens with these lines.
+    pub fn opens_anew_with(&self, lines: &[Value]) {
+        let mut news = self.news.lock().unwrap();
+        news.0 = lines.iter().map(Value::to_string).collect();
+        news.1.drain(..).for_each(|to| _ = to.shutdown(Shutdown::Both));
+    }
+
     /// Breaks the news off; on reopening it tells of nobody but the last who joined.
     pub fn forgets_all_but_the_last(&self) {
         let mut news = self.news.lock().unwrap();
@@ -191,6 +256,11 @@
         news.1.drain(..).for_each(|to| _ = to.shutdown(Shutdown::Both));
     }
 
+    /// Whether a call has come that was not looked at yet.
+    pub fn was_called(&self) -> Option<Vec<Value>> {
+        self.calls.lock().unwrap().try_recv().ok()
+    }
+
     pub fn call(&self) -> Vec<Value> {
         self.calls.lock().unwrap().recv_timeout(LIMIT).expect("a call to the relay")
     }
@@ -205,12 +275,22 @@
     }
 }
 
+/// What becomes of the next answer of the list.
+pub enum Says {
+    /// This in place of its own words.
+    Text(String),
+    CutAfter(usize),
+    Resets,
+    Twice,
+}
+
 #[derive(Default)]
 struct Hosts {
     version: u64,
     standing: Vec<Value>,
     changed: Vec<Value>,
     silent: bool,
+    plan: VecDeque<Says>,
 }
 
 #[derive(Clone)]
@@ -242,14 +322,26 @@
                 None => json!({"seq": hosts.version, "whole": true, "hosts": hosts.standing}),
                 Some(since) => {
                     let most = Duration::from_millis(wait.unwrap_or(0));
-                    let stands = |h: &mut Hosts| h.silent || h.version <= since;
+                    let stands = |h: &mut Hosts| h.silent || h.version <= since && h.plan.is_empty();
                     hosts = changed.wait_timeout_while(hosts, most, stands).unwrap().0;
                     let news = if hosts.version > since { hosts.changed.clone() } else { vec![] };
                     json!({"seq": hosts.version, "whole": false, "hosts": news})
                 }
             };
-            if !hosts.silent {
-                answer_in_pieces(to, &body.to_string());
+            if hosts.silent {
+                return true;
+            }
+            match hosts.plan.pop_front() {
+                None => answer_in_pieces(to, &body.to_string()),
+                Some(Says::Text(text)) => answer(to, "200 OK", &text),
+                Some(Says::CutAfter(bytes)) => cut(to, &body.to_string(), bytes),
+                Some(Says::Twice) => {
+                    _ = to.write_all(text_of("200 OK", &body.to_string()).repeat(2).as_bytes());
+                }
+                Some(Says::Resets) => {
+                    reset_at_close(to);
+                    return false;
+                }
             }
             true
         });
@@ -263,6 +355,43 @@
         self.hosts.1.notify_all();
     }
 
+    /// The list as it is told whole from now on, and the change that led to it.
+    pub fn stands(&self, standing: &[Value], changed: &[Value]) {
+        self.hosts.0.lock().unwrap().standing = standing.to_vec();
+        self.changes(changed);
+    }
+
+    /// Its next answers come to these. A watch that waits is answered at once.
+    pub fn will(&self, says: impl IntoIterator<Item = Says>) {
+        self.hosts.0.lock().unwrap().plan.extend(says);
+        self.hosts.1.notify_all();
+    }
+
+    /// Both at once: a change, and what becomes of the answer that tells it.
+    pub fn changes_but(&self, standing: &[Value], changed: &[Value], says: Says) {
+        let mut hosts = self.hosts.0.lock().unwrap();
+        hosts.plan.push_back(says);
+        hosts.standing = standing.to_vec();
+        hosts.version += 1;
+        hosts.changed = changed.to_vec();
+        self.hosts.1.notify_all();
+    }
+
+    /// It has lost its state and counts from there.
+    pub fn restarts_at(&self, version: u64) {
+        self.hosts.0.lock().unwrap().version = version;
+    }
+
+    /// A watch is under way for what is newer than all that was told: the rest has reached the planner.
+    pub fn heard_all(&self) {
+        let version = self.hosts.0.lock().unwrap().version;
+        let since = format!("since={version}&");
+        until("a watch for what is newer", || {
+            let call = self.calls.lock().unwrap().recv_timeout(LIMIT).expect("a call to the list");
+            call.contains(&since).then_some(())
+        });
+    }
+
     pub fn silent(&self, is: bool) {
         self.hosts.0.lock().unwrap().silent = is;
     }
@@ -372,6 +501,16 @@
         self.signal("HUP");
     }
 
+    /// Stands still from now on: whatever comes meanwhile has come at once when it goes on.
+    pub fn stopped<T>(&self, meanwhile: impl FnOnce() -> T) -> T {
+        self.signal("STOP");
+        let stat = format!("/proc/{}/stat", self.child.id());
+        until("standstill", || std::fs::read_to_string(&stat).ok().filter(|stat| stat.contains(") T ")));
+        let came = meanwhile();
+        self.signal("CONT");
+        came
+    }
+
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         assert!(Command::new("kill").args(["-s", name, &id]).status().unwrap().success());
--- a/supervisor/tests/sockets/main.rs
+++ b/supervisor/tests/sockets/main.rs
@@ -1,6 +1,7 @@
 //! The built program on loopback sockets, one thing that happens a test.
 
 mod common;
+mod list;
 
 use common::{frame, papers, program, read_frame, server, until, Does, File, List, Relay, Supervisor};
 use serde_json::{json, Value};
--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -85,7 +85,7 @@
         let now = self.now;
         let call: Call = match f.kind {
             "TOPOLOGY" => match f.whole("form")? {
-                3 => Box::new(|rules| rules.list_failed()),
+                3 => Box::new(|rules| rules.list_failed(now)),
                 form @ 0..=2 => {
                     let page = f.whole("page")?;
                     let listings =
