A connect slower than a call waits goes on for the next call instead of being begun anew

Seen by reading, then by a test on a paused clock: each call gave a connect 150 ms and dropped it, the next began another. A peer that takes 200 ms to come up, and is well, was never reached: no list, no news, no orders.

Ruled out as a remedy: a longer limit (an answer's limit is 250 ms, and nothing sent must be known not to have been sent); one connect kept alone (after an outage its packets come again only after 1 s, 3 s; a younger one finds the way open at once).

At fault: client.rs, HttpConnector::set_connect_timeout, and news.rs, which made a client of its own for each attempt.

Change: dials.rs keeps up to four connects of a peer under way, 3 s each; a call waits 150 ms for whichever comes up first. The oldest go on, the youngest makes room for a new one; what came up while nobody called is used if it is still open and silent; once one is used the others end. It costs three descriptors a peer during an outage.

Tests: dials/tests.rs. With each call starting from nothing, a_connect_slower_than_any_call_waits_comes_up_for_a_later_call fails with left: None, right: Some(1). On loopback a connect can't be made slow without making all others slow, so there is no test on sockets.

--- a/supervisor/src/client.rs
+++ b/supervisor/src/client.rs
@@ -1,38 +1,84 @@
 //! HTTP towards one peer: hyper-util's client with a limit on each connect, answer and body. It never sends
 //! anything twice by itself: only who asked can know whether twice is once too often.
 
+use crate::dials::Dials;
 use crate::errors::{chain, Came, Failed};
 use crate::limits::within;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
-use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::client::legacy::{connect::HttpConnector, Client};
-use hyper_util::rt::{TokioExecutor, TokioTimer};
+use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use std::error::Error;
+use std::future::Future;
+use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::Mutex;
+use tower_service::Service;
 
-/// Shorter than any wait for an answer, so that what was never sent is known not to have been.
+/// Shorter than any wait for an answer, so that what was never sent is known not to have been. The connect goes on
+/// beyond it, for the next call.
 const CONNECT_WITHIN: Duration = Duration::from_millis(150);
 /// Peers close what stands idle; one kept for less can hardly be dead when it is used.
 const IDLE_KEPT: Duration = Duration::from_secs(3);
 
+/// Hands the client a connection, from whichever connect to the peer comes up first.
+#[derive(Clone)]
+struct Dialer {
+    address: SocketAddr,
+    dials: Arc<Mutex<Dials<TcpStream>>>,
+}
+
+impl Service<Uri> for Dialer {
+    type Response = TokioIo<TcpStream>;
+    type Error = io::Error;
+    type Future = Pin<Box<dyn Future<Output = io::Result<TokioIo<TcpStream>>> + Send>>;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, _: Uri) -> Self::Future {
+        let Dialer { address, dials } = self.clone();
+        Box::pin(async move {
+            let mut dials = dials.lock().await;
+            let up = dials.up(TcpStream::connect(address), unspoilt);
+            let stream = within(CONNECT_WITHIN, up).await.ok_or_else(|| {
+                io::Error::new(
+                    io::ErrorKind::TimedOut,
+                    format!("not up after {} ms", CONNECT_WITHIN.as_millis()),
+                )
+            })??;
+            stream.set_nodelay(true)?;
+            Ok(TokioIo::new(stream))
+        })
+    }
+}
+
+/// Whether a connection that came up a while ago is still open, and silent as one that was never asked is.
+fn unspoilt(stream: &TcpStream) -> bool {
+    matches!(stream.try_read(&mut [0]), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+}
+
 pub struct Peer {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<Dialer, Full<Bytes>>,
     pub address: SocketAddr,
 }
 
 impl Peer {
     pub fn at(address: SocketAddr) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(CONNECT_WITHIN));
-        connector.set_nodelay(true);
+        let dialer = Dialer { address, dials: Arc::new(Mutex::new(Dials::new())) };
         let client = Client::builder(TokioExecutor::new())
             .pool_idle_timeout(IDLE_KEPT)
             .pool_max_idle_per_host(1)
             .pool_timer(TokioTimer::new())
             .retry_canceled_requests(false)
-            .build(connector);
+            .build(dialer);
         Peer { client, address }
     }
 
--- a/supervisor/src/main.rs
+++ b/supervisor/src/main.rs
@@ -4,6 +4,7 @@
 mod client;
 mod collectors;
 mod desk;
+mod dials;
 mod errors;
 mod front;
 mod limits;
--- a/supervisor/src/news.rs
+++ b/supervisor/src/news.rs
@@ -61,9 +61,11 @@
 /// as it speaks there.
 pub async fn follow(mut place: watch::Receiver<SocketAddr>, names: Rc<Names>, ear: Ear, log: Logger) {
     let mut at = *place.borrow_and_update();
+    // One for all attempts at a place: a connect that is slow comes up for a later one.
+    let mut peer = Rc::new(Peer::at(at));
     let (mut failures, mut odd) = (0, Sparing::default());
     let mut standing: Option<Open> = None;
-    let mut opening = Some(Box::pin(open(at, Duration::ZERO)));
+    let mut opening = Some(Box::pin(open(peer.clone(), Duration::ZERO)));
     loop {
         let wanted = opening.is_some();
         let lost = tokio::select! {
@@ -78,7 +80,7 @@
                 Ok(None) => {
                     if !wanted {
                         warn!(log, "news silent"; "seconds" => SILENT_FOR.as_secs_f32());
-                        opening = Some(Box::pin(open(at, Duration::ZERO)));
+                        opening = Some(Box::pin(open(peer.clone(), Duration::ZERO)));
                     }
                     None
                 }
@@ -95,14 +97,15 @@
                             warn!(log, "news not found"; "why" => %failed);
                         }
                         failures += 1;
-                        opening = Some(Box::pin(open(at, AGAIN[failures.min(AGAIN.len() - 1)])));
+                        opening = Some(Box::pin(open(peer.clone(), AGAIN[failures.min(AGAIN.len() - 1)])));
                     }
                 }
                 None
             }
             Ok(()) = place.changed() => {
                 at = *place.borrow_and_update();
-                (opening, failures) = (Some(Box::pin(open(at, Duration::ZERO))), 0);
+                peer = Rc::new(Peer::at(at));
+                (opening, failures) = (Some(Box::pin(open(peer.clone(), Duration::ZERO))), 0);
                 None
             }
         };
@@ -110,15 +113,15 @@
             warn!(log, "news lost"; "why" => %failed);
             standing = None;
             // Anew, whatever attempt hangs: a connection that is reset tells that its relay is back.
-            (opening, failures) = (Some(Box::pin(open(at, AGAIN[0]))), 0);
+            (opening, failures) = (Some(Box::pin(open(peer.clone(), AGAIN[0]))), 0);
         }
     }
 }
 
 /// Opens a connection after a pause, and waits for its first line.
-async fn open(at: SocketAddr, after: Duration) -> Result<Open, Failed> {
+async fn open(peer: Rc<Peer>, after: Duration) -> Result<Open, Failed> {
     sleep(after).await;
-    let answer = Peer::at(at).send(Method::GET, "/v3/kv/stream", Bytes::new(), HEAD_WITHIN).await?;
+    let answer = peer.send(Method::GET, "/v3/kv/stream", Bytes::new(), HEAD_WITHIN).await?;
     if !answer.status().is_success() {
         return Err(Failed::new(Came::TurnedAway, format!("status {}", answer.status())));
     }
@@ -126,7 +129,7 @@
     let codec = LinesCodec::new_with_max_length(LONGEST_LINE);
     let mut lines = FramedRead::new(StreamReader::new(bytes), codec);
     let first = line(&mut lines).await?.ok_or_else(|| Failed::new(Came::Sent, "no first line"))?;
-    Ok(Open { at, lines, first: Some(first), named: Some(BTreeSet::new()) })
+    Ok(Open { at: peer.address, lines, first: Some(first), named: Some(BTreeSet::new()) })
 }
 
 /// The next line of the connection that stands, and never one where none does; nothing where it is silent.
