Told to end, the supervisor first settles what it owes: orders, answers, reports

Seen, forced on sockets against the old program: SIGTERM or SIGINT while the relay holds a call: a withdrawal decided meanwhile never left ('a call to the relay: Timeout'); a call whose fate was open was not made again; who had asked for a sign of life or a page as the signal came got a reset ('Connection reset by peer'). A zone's ninth connection aborted the longest silent one between two reports that it had sent. A panic of the accepting task would have left a process that lives and hears nobody; a planner that ended would have ended the process with code 0.

Ruled out: harm to who takes over. The relay applies our orders to proxies joined to us only, and what waits in our channel is lost as their streams go elsewhere; the last orders are those that were already decided.

At fault: main.rs, serve (a select that dropped everything at the signal); front.rs, Guests::leave (abort).

Change: one token ends the planner and our address. The planner finishes its call, sends what is decided and once more a call whose fate is open. Our address is closed first, so that who comes later is refused; whoever had connected has 20 ms for what was at hand. All of it within 0.5 s, for a kill may follow after 0.7 s; a relay that stays silent does not hold it up. A collector that is let go is heard to the end of what it sent. A slip at one connection is caught; a planner or an address that ends unasked ends the process with code 1.

Tests, on sockets, endings.rs; the crossing is forced by a held call or a process that stands still (SIGSTOP) while all of it comes.

--- a/supervisor/src/collectors.rs
+++ b/supervisor/src/collectors.rs
@@ -16,6 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio_util::sync::CancellationToken;
 
 /// A joining and a probe take tens of bytes. Whoever has not joined gets no buffer for more: hundreds of them
 /// that each announce a megabyte would cost all our memory.
@@ -27,6 +28,8 @@
 const FRAME_WITHIN: Duration = Duration::from_secs(5);
 /// Collectors report each second or so; one that vanished leaves its connection open for ever.
 const SILENT_FOR: Duration = Duration::from_secs(30);
+/// For what had come when a connection was let go, and was not read yet.
+pub const AT_HAND: Duration = Duration::from_millis(20);
 
 /// Beyond these a figure is a slip of its sender: tries or txns of one report; a mean time; an interval.
 const MOST_COUNTED: f64 = 1e6;
@@ -86,17 +89,19 @@
 }
 
 /// Takes reports until the collector leaves. A report that is spoilt is dropped alone; where frames can't be
-/// read any more the connection ends, so that the collector comes again. `heard` is told of each frame.
+/// read any more the connection ends, so that the collector comes again. `heard` is told of each frame. One that is
+/// let go, since its zone has newer connections or the process ends, has what it sent before heard to the end.
 pub async fn listen(
     mut frames: Frames,
     names: &Names,
     ear: &Ear,
     heard: impl Fn(),
+    let_go: &CancellationToken,
     log: &Logger,
 ) -> Result<(), Failed> {
     let mut odd = Sparing::default();
     loop {
-        let Some(frame) = next(&mut frames).await? else { return Ok(()) };
+        let Some(frame) = next(&mut frames, let_go).await? else { return Ok(()) };
         heard();
         let value = json(&frame).map_err(unusable)?;
         match one(&value, names, ear).await {
@@ -114,15 +119,25 @@
 
 /// The next frame. Silence is counted from the last one, half a frame from its first byte: else a byte now and
 /// then would keep a connection for good.
-async fn next(frames: &mut Frames) -> Result<Option<impl std::ops::Deref<Target = [u8]>>, Failed> {
+async fn next(
+    frames: &mut Frames,
+    let_go: &CancellationToken,
+) -> Result<Option<impl std::ops::Deref<Target = [u8]>>, Failed> {
     let since = Instant::now();
     loop {
         if frames.read_buffer().is_empty() {
             let left = SILENT_FOR.saturating_sub(since.elapsed());
-            let came = within(left, frames.get_ref().readable()).await;
+            let came = tokio::select! {
+                came = within(left, frames.get_ref().readable()) => came,
+                () = let_go.cancelled() => match within(AT_HAND, frames.get_ref().readable()).await {
+                    Some(came) => Some(came),
+                    None => return Ok(None),
+                },
+            };
             came.ok_or_else(|| Failed::new(Came::Sent, "silent"))?.map_err(unusable)?;
         }
-        match within(FRAME_WITHIN, frames.next()).await {
+        let limit = if let_go.is_cancelled() { AT_HAND } else { FRAME_WITHIN };
+        match within(limit, frames.next()).await {
             Some(frame) => return frame.transpose().map_err(|e| unusable(chain(&e))),
             // Readable, and nothing to be read after all.
             None if frames.read_buffer().is_empty() => {}
--- a/supervisor/src/front.rs
+++ b/supervisor/src/front.rs
@@ -11,18 +11,24 @@
 use axum::http::header::CONTENT_TYPE;
 use axum::routing::get;
 use axum::Router;
+use futures_util::FutureExt;
 use hyper::server::conn::http1;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
-use slog::{info, o, warn, Logger};
+use otterwinch_hostkit::caught;
+use slog::{error, info, o, warn, Logger};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::task::{spawn_local, yield_now, AbortHandle};
+use tokio::task::{yield_now, AbortHandle};
 use tokio::time::{sleep, Instant};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 /// Strangers connect and say nothing, or ask for a sign of life and stay. From the accept to the joining of a
 /// collector or the end of a page; nothing that is sent meanwhile makes it longer.
@@ -49,89 +55,148 @@
 #[derive(Default)]
 struct Guests {
     coming: u64,
-    strangers: BTreeMap<u64, AbortHandle>,
+    strangers: BTreeMap<u64, (AbortHandle, CancellationToken)>,
     /// Collectors with their zone and when each was heard last.
-    joined: BTreeMap<u64, (u32, Instant, AbortHandle)>,
+    joined: BTreeMap<u64, (u32, Instant, CancellationToken)>,
 }
 
 impl Guests {
-    /// Ends the stranger that has been here longest; true where there was one.
-    fn less_a_stranger(&mut self) -> bool {
-        self.strangers.pop_first().map(|(_, oldest)| oldest.abort()).is_some()
-    }
-
-    /// A stranger has joined. Where its zone has too many connections then, the longest silent one ends.
+    /// A stranger has joined. Where its zone has too many connections then, the longest silent one is let go.
     fn join(&mut self, number: u64, zone: u32, most: usize) {
-        let Some(handle) = self.strangers.remove(&number) else { return };
+        let Some((_, let_go)) = self.strangers.remove(&number) else { return };
         let of_zone = || self.joined.iter().filter(|(_, seat)| seat.0 == zone);
         let silent = of_zone().min_by_key(|(_, seat)| seat.1).map(|(number, _)| *number);
         if let Some(longest) = silent.filter(|_| of_zone().count() >= most) {
-            self.leave(longest);
+            self.joined.remove(&longest).into_iter().for_each(|seat| seat.2.cancel());
         }
-        self.joined.insert(number, (zone, Instant::now(), handle));
+        self.joined.insert(number, (zone, Instant::now(), let_go));
     }
 
     fn heard(&mut self, number: u64) {
         self.joined.get_mut(&number).into_iter().for_each(|seat| seat.1 = Instant::now());
     }
 
-    fn leave(&mut self, number: u64) {
-        let handle = self.strangers.remove(&number);
-        let handle = handle.or_else(|| self.joined.remove(&number).map(|seat| seat.2));
-        handle.into_iter().for_each(|handle| handle.abort());
+    fn left(&mut self, number: u64) {
+        self.strangers.remove(&number);
+        self.joined.remove(&number);
+    }
+
+    fn here(&self) -> usize {
+        self.strangers.len() + self.joined.len()
     }
 }
 
-/// Accepts for ever, and holds so many connections at most. Half of them at most are collectors', so where it
+/// Accepts until the end, and holds so many connections at most. Half of them at most are collectors', so where it
 /// is full the oldest stranger makes room: a collector joins and a probe is answered in a moment, and whoever
 /// has been here for long without either has come to stay.
-pub async fn serve(listener: TcpListener, front: Front, most: usize) {
-    let guests = Rc::new(RefCell::new(Guests::default()));
+///
+/// At the end whoever had connected is heard to the end of what it had sent, and answered; who comes later is
+/// refused by the closed address and not left in its queue.
+pub async fn serve(listener: TcpListener, front: Front, most: usize, end: CancellationToken) {
     let each_zone = (most / 2 / front.names.zones.len().max(1)).clamp(1, MOST_A_ZONE);
-    let (router, mut full) = (router(front.page.clone()), Sparing::default());
-    let ended = Rc::new(RefCell::new(Sparing::default()));
+    let house = House {
+        router: router(front.page.clone()),
+        front,
+        most,
+        each_zone,
+        guests: Rc::default(),
+        tasks: TaskTracker::new(),
+        full: Rc::default(),
+        ended: Rc::default(),
+        end,
+    };
     loop {
-        let (stream, from) = match listener.accept().await {
+        let taken = tokio::select! {
+            biased;
+            () = house.end.cancelled() => break,
+            taken = listener.accept() => taken,
+        };
+        let log = &house.front.log;
+        let (stream, from) = match taken {
             Ok(taken) => taken,
             Err(e) => {
                 // Out of descriptors, or a peer that gave up: both pass.
-                warn!(front.log, "accept failed"; "why" => %e);
+                warn!(log, "accept failed"; "why" => %e);
                 sleep(Duration::from_millis(50)).await;
                 continue;
             }
         };
-        let here = |guests: &Guests| guests.strangers.len() + guests.joined.len();
-        if here(&guests.borrow()) >= most {
-            front.ear.seen.turned_away.more();
-            if let Some(times) = full.due() {
-                warn!(front.log, "stranger turned away: too many"; "times" => times);
-            }
-            if !guests.borrow_mut().less_a_stranger() {
-                continue;
-            }
-            // Its task drops its descriptor before the next is accepted.
+        if house.is_full() {
+            // A task that ends drops its descriptor before the next is accepted.
             yield_now().await;
         }
-        let number = guests.borrow().coming;
-        let (front, router, ended, all) = (front.clone(), router.clone(), ended.clone(), guests.clone());
-        let task = spawn_local(async move {
+        // Nobody else hears our address: a slip at one connection must not cost all that follow.
+        if let Err(cause) = caught(|| house.seat(stream, from)) {
+            error!(log, "a connection could not be taken"; "why" => cause);
+        }
+    }
+    while let Some(Ok((stream, from))) = listener.accept().now_or_never() {
+        house.seat(stream, from);
+    }
+    drop(listener);
+    house.tasks.close();
+    house.tasks.wait().await;
+}
+
+struct House {
+    front: Front,
+    router: Router,
+    most: usize,
+    each_zone: usize,
+    guests: Rc<RefCell<Guests>>,
+    tasks: TaskTracker,
+    full: Rc<RefCell<Sparing>>,
+    ended: Rc<RefCell<Sparing>>,
+    end: CancellationToken,
+}
+
+impl House {
+    /// Makes room where all places are taken; true where it had to.
+    fn is_full(&self) -> bool {
+        if self.guests.borrow().here() < self.most {
+            return false;
+        }
+        self.front.ear.seen.turned_away.more();
+        if let Some(times) = self.full.borrow_mut().due() {
+            warn!(self.front.log, "stranger turned away: too many"; "times" => times);
+        }
+        // What the oldest sent has long been answered.
+        let oldest = self.guests.borrow_mut().strangers.pop_first();
+        oldest.map(|(_, (task, _))| task.abort()).is_some()
+    }
+
+    /// Gives a connection a task of its own. Where no stranger could make room it is closed again.
+    fn seat(&self, stream: TcpStream, from: SocketAddr) {
+        let mut guests = self.guests.borrow_mut();
+        if guests.here() >= self.most {
+            return;
+        }
+        let (number, each_zone, let_go) = (guests.coming, self.each_zone, self.end.child_token());
+        let (front, router, ended) = (self.front.clone(), self.router.clone(), self.ended.clone());
+        let (seat, gone) = (Seat { number, guests: self.guests.clone() }, let_go.clone());
+        let task = self.tasks.spawn_local(async move {
             let log = front.log.new(o!("from" => from.to_string()));
-            if let Err(failed) = one(stream, &front, router, &all, (number, each_zone), &log).await {
+            if let Err(failed) = one(stream, &front, router, (&seat, each_zone, &gone), &log).await {
                 front.ear.seen.ended.more();
                 if let Some(times) = ended.borrow_mut().due() {
                     info!(log, "connection ended"; "why" => %failed, "times" => times);
                 }
             }
         });
-        let mut all = guests.borrow_mut();
-        all.coming += 1;
-        all.strangers.insert(number, task.abort_handle());
-        // However it ends, by a panic too, its place is free then.
-        let guests = guests.clone();
-        spawn_local(async move {
-            let _ = task.await;
-            guests.borrow_mut().leave(number);
-        });
+        guests.coming += 1;
+        guests.strangers.insert(number, (task.abort_handle(), let_go));
+    }
+}
+
+/// A guest's place, free again however its task ends: by a panic or an abort too.
+struct Seat {
+    number: u64,
+    guests: Rc<RefCell<Guests>>,
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.guests.borrow_mut().left(self.number);
     }
 }
 
@@ -140,17 +205,23 @@
     stream: TcpStream,
     front: &Front,
     router: Router,
-    guests: &RefCell<Guests>,
-    (number, each_zone): (u64, usize),
+    (seat, each_zone, let_go): (&Seat, usize, &CancellationToken),
     log: &Logger,
 ) -> Result<(), Failed> {
-    let greeted = within(JOINED_WITHIN, greet(stream, front, router)).await;
+    let mut greeting = pin!(within(JOINED_WITHIN, greet(stream, front, router)));
+    let greeted = tokio::select! {
+        greeted = &mut greeting => greeted,
+        () = let_go.cancelled() => match within(collectors::AT_HAND, greeting).await {
+            Some(greeted) => greeted,
+            None => return Ok(()),
+        },
+    };
     let greeted = greeted.ok_or_else(|| Failed::new(Came::Sent, "not joined in time"))?;
     let Some((frames, zone)) = greeted? else { return Ok(()) };
-    guests.borrow_mut().join(number, zone, each_zone);
+    seat.guests.borrow_mut().join(seat.number, zone, each_zone);
     info!(log, "collector found"; "zone" => zone);
-    let heard = || guests.borrow_mut().heard(number);
-    collectors::listen(frames, &front.names, &front.ear, heard, log).await?;
+    let heard = || seat.guests.borrow_mut().heard(seat.number);
+    collectors::listen(frames, &front.names, &front.ear, heard, let_go, log).await?;
     info!(log, "collector left");
     Ok(())
 }
--- a/supervisor/src/main.rs
+++ b/supervisor/src/main.rs
@@ -14,19 +14,24 @@
 mod orders;
 mod papers;
 mod planner;
+mod tasks;
 
+use limits::within;
 use papers::Papers;
 use planner::Planner;
-use slog::{error, info, Logger};
-use std::future::Future;
+use slog::{error, info, warn, Logger};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
+use tasks::kept_up;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
-use tokio::task::{spawn_local, LocalSet};
-use tokio::time::sleep;
+use tokio::task::{spawn_local, JoinError, LocalSet};
+use tokio_util::sync::CancellationToken;
+
+/// From the word to end until we do, whatever is still owed: a kill follows no sooner than 0.7 s after it.
+const SETTLED_WITHIN: Duration = Duration::from_millis(500);
 
 fn main() -> ExitCode {
     let env = |name: &str| std::env::var(name).ok();
@@ -87,7 +92,6 @@
     info!(log, "started"; "version" => env!("CARGO_PKG_VERSION"), "listen" => %listener.local_addr()?);
     let (names, seen, list_bytes) = (papers.names.clone(), ear.seen.clone(), papers.list_bytes);
     let front = front::Front { names: names.clone(), ear: ear.clone(), page, log: log.clone() };
-    spawn_local(front::serve(listener, front, papers.connections));
     {
         let (names, ear, log) = (names.clone(), ear.clone(), log.clone());
         kept_up("list", log.clone(), move || {
@@ -103,27 +107,30 @@
             news::follow(relay.clone(), names.clone(), ear.clone(), log.clone())
         });
     }
-    tokio::select! {
-        () = planner.run() => {}
-        () = papers::follow(hangups, papers, list_moves, relay_moves, seen, log.clone()) => {}
-        _ = told_to_end.recv() => info!(log, "told to end"),
-        _ = interrupted.recv() => info!(log, "interrupted"),
+    let end = CancellationToken::new();
+    let mut front = spawn_local(front::serve(listener, front, papers.connections, end.clone()));
+    let mut planner = spawn_local(planner.run(end.clone()));
+    let why = tokio::select! {
+        ended = &mut planner => return Err(unasked("the planner", ended)),
+        ended = &mut front => return Err(unasked("our address", ended)),
+        () = papers::follow(hangups, papers, list_moves, relay_moves, seen, log.clone()) => {
+            return Err(std::io::Error::other("signals are heard no more"));
+        }
+        _ = told_to_end.recv() => "told to end",
+        _ = interrupted.recv() => "interrupted",
+    };
+    info!(log, "{}", why);
+    end.cancel();
+    if within(SETTLED_WITHIN, async { tokio::join!(planner, front) }).await.is_none() {
+        warn!(log, "ended with something still owed"; "after_ms" => SETTLED_WITHIN.as_millis() as u64);
     }
     Ok(())
 }
 
-/// Starts a peer's task, and starts it again should it break: a slip there must not cost the supervisor.
-fn kept_up<F: Future<Output = ()> + 'static>(
-    peer: &'static str,
-    log: Logger,
-    task: impl Fn() -> F + 'static,
-) {
-    spawn_local(async move {
-        loop {
-            if let Err(broken) = spawn_local(task()).await {
-                error!(log, "a peer's task broke and is started anew"; "peer" => peer, "why" => %broken);
-            }
-            sleep(Duration::from_millis(100)).await;
-        }
-    });
+/// Why a task that goes on until we are told to end has ended.
+fn unasked(task: &str, ended: Result<(), JoinError>) -> std::io::Error {
+    std::io::Error::other(match ended {
+        Ok(()) => format!("{task} ended"),
+        Err(broken) => format!("{task} broke: {broken}"),
+    })
 }
--- a/supervisor/src/planner.rs
+++ b/supervisor/src/planner.rs
@@ -15,6 +15,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
 
 const QUEUE: usize = 4096;
 const SUMMARY_EVERY: Span = Span::from_us(10_000_000);
@@ -127,29 +128,37 @@
         self.rules.host().follow.clone()
     }
 
-    pub async fn run(mut self) {
-        loop {
-            let first = self.wait().await;
-            let now = self.clock.now();
-            self.rules.host().now = now;
-            let mut next = first;
-            for _ in 0..QUEUE {
-                match next.or_else(|| self.told.try_recv().ok()) {
-                    Some(told) => self.guarded(now, told),
-                    None => break,
-                }
-                next = None;
-            }
-            while let Some(label) = self.rules.host().due(now) {
-                self.guarded(now, Box::new(move |rules, now| rules.woke(now, label)));
+    /// Goes on until the end. What was decided by then still goes out, and a call whose fate is open once more:
+    /// proxies that have not gone elsewhere yet would use what has left.
+    pub async fn run(mut self, end: CancellationToken) {
+        while !end.is_cancelled() {
+            let first = self.wait(&end).await;
+            self.round(first).await;
+        }
+        self.rules.host().again = true;
+        self.round(None).await;
+    }
+
+    async fn round(&mut self, first: Option<Told>) {
+        let now = self.clock.now();
+        self.rules.host().now = now;
+        let mut next = first;
+        for _ in 0..QUEUE {
+            match next.or_else(|| self.told.try_recv().ok()) {
+                Some(told) => self.guarded(now, told),
+                None => break,
             }
-            self.send().await;
-            self.report();
+            next = None;
+        }
+        while let Some(label) = self.rules.host().due(now) {
+            self.guarded(now, Box::new(move |rules, now| rules.woke(now, label)));
         }
+        self.send().await;
+        self.report();
     }
 
-    /// The first that comes: something told, or nothing where a wake-up is due.
-    async fn wait(&mut self) -> Option<Told> {
+    /// The first that comes: something told, or nothing where a wake-up is due or the end has come.
+    async fn wait(&mut self, end: &CancellationToken) -> Option<Told> {
         let now = self.clock.now();
         let at = self.rules.host().next_wake().unwrap_or(now + PAGE_EVERY);
         let left = Duration::from_micros((at - now).as_us().max(0) as u64);
@@ -157,6 +166,7 @@
             biased;
             told = self.told.recv() => told,
             () = sleep(left) => None,
+            () = end.cancelled() => None,
         }
     }
 
--- a/supervisor/tests/sockets/main.rs
+++ b/supervisor/tests/sockets/main.rs
@@ -1,6 +1,7 @@
 //! The built program on loopback sockets, one thing that happens a test.
 
 mod common;
+mod endings;
 mod list;
 mod relay;
 
