Two 'invalid' answers with another loss between are not twice running; more than 64 classes are refused

A spoilt answer may read so by itself; planner.rs cleared the mark only after a call that was answered.

Seen by reading: classes beyond the 64th have no bit in an order's set. Such a configuration was taken (exit code 0 where 2 is wanted) and would have named wrong classes; it is refused with the reason now. A failing accept was logged twenty times a second; it is sparing now.

Tests: two_calls_that_the_relay_cannot_use_with_a_broken_one_between_open_nothing_anew, more_classes_than_orders_can_name_are_refused; both fail without the change.

--- a/supervisor/src/front.rs
+++ b/supervisor/src/front.rs
@@ -105,6 +105,7 @@
         ended: Rc::default(),
         end,
     };
+    let mut failed = Sparing::default();
     loop {
         let taken = tokio::select! {
             biased;
@@ -116,7 +117,9 @@
             Ok(taken) => taken,
             Err(e) => {
                 // Out of descriptors, or a peer that gave up: both pass.
-                warn!(log, "accept failed"; "why" => %e);
+                if let Some(times) = failed.due() {
+                    warn!(log, "accept failed"; "why" => %e, "times" => times);
+                }
                 sleep(Duration::from_millis(50)).await;
                 continue;
             }
--- a/supervisor/src/papers.rs
+++ b/supervisor/src/papers.rs
@@ -4,7 +4,7 @@
 use crate::list;
 use crate::planner::Seen;
 use otterwinch::charter::Charter;
-use otterwinch::host::Listing;
+use otterwinch::host::{Listing, Products};
 use otterwinch_hostkit::{charter, Fields, Figures};
 use serde_json::Value;
 use slog::{info, warn, Logger};
@@ -44,6 +44,8 @@
 /// Connections at our address, whatever the papers allow.
 const MOST_CONNECTIONS: u64 = 512;
 const MOST_LIST_BYTES: u64 = 4 << 20;
+/// Orders name products by the bits of a word.
+const MOST_PRODUCTS: usize = Products::BITS as usize;
 /// Proxy numbers of papers that do not say how many there are.
 const MOST_PROXIES: u32 = 65_536;
 
@@ -111,6 +113,9 @@
             let holds_nothing = |list| move || format!("papers: field 'settings.{list}' holds nothing");
             faults.unless(!names.zones.is_empty(), holds_nothing("zones"));
             faults.unless(!names.products.is_empty(), holds_nothing("classes"));
+            faults.unless(names.products.len() <= MOST_PRODUCTS, || {
+                format!("papers: field 'settings.classes' holds more than {MOST_PRODUCTS}")
+            });
             faults.unless(charter.slices == 0, || {
                 "papers: field 'settings.familyInfo.slices' is above 0: the relay has no slices".into()
             });
--- a/supervisor/src/planner.rs
+++ b/supervisor/src/planner.rs
@@ -185,9 +185,8 @@
             let fate = self.orders.deliver().await;
             let now = self.clock.now();
             self.rules.host().now = now;
-            if !matches!(fate, Fate::Lost(_)) {
-                self.unfit = false;
-            }
+            let unfit = matches!(&fate, Fate::Lost(failed) if failed.came == Came::Unfit);
+            let unfit_again = std::mem::replace(&mut self.unfit, unfit) && unfit;
             match fate {
                 Fate::Taken => {
                     if std::mem::take(&mut self.lost) {
@@ -210,9 +209,7 @@
                 }
                 // A call that the relay can't read would stop all that follows, for ever. Said once it may be
                 // the answer that is spoilt, and the call goes again as it was.
-                Fate::Lost(failed)
-                    if failed.came == Came::Unfit && std::mem::replace(&mut self.unfit, true) =>
-                {
+                Fate::Lost(failed) if unfit_again => {
                     error!(self.log, "the relay can't use our orders"; "why" => %failed);
                     self.open_anew(now);
                     return;
--- a/supervisor/tests/sockets/main.rs
+++ b/supervisor/tests/sockets/main.rs
@@ -414,6 +414,17 @@
     ["'address'", "'seed'", "'settings.classes'"].iter().for_each(|f| assert!(said.contains(f), "{said}"));
 }
 
+#[test]
+fn more_classes_than_orders_can_name_are_refused() {
+    let mut papers = sound_papers();
+    let class = |n| json!({"name": format!("c{n}"), "promiseUs": 1_000_000, "importance": 1.0});
+    papers["settings"]["classes"] = (0..64).map(class).collect();
+    assert_eq!(check(&papers.to_string()).0, Some(0));
+    papers["settings"]["classes"] = (0..65).map(class).collect();
+    let said = "otterwinch: papers: field 'settings.classes' holds more than 64\n";
+    assert_eq!(check(&papers.to_string()), (Some(2), said.into()));
+}
+
 #[test]
 fn a_missing_field_is_named_once() {
     let mut papers = sound_papers();
--- a/supervisor/tests/sockets/relay.rs
+++ b/supervisor/tests/sockets/relay.rs
@@ -84,6 +84,17 @@
     assert!(relay.was_called().is_none(), "nothing more goes to the old place");
 }
 
+/// Only said twice running it is no spoilt answer.
+#[test]
+fn two_calls_that_the_relay_cannot_use_with_a_broken_one_between_open_nothing_anew() {
+    let (list, relay, supervisor) = serving();
+    [Does::CannotUseIt, Does::Breaks, Does::CannotUseIt].into_iter().for_each(|does| relay.will(does));
+    list.changes(&[server("a", "leaving")]);
+    (0..4).for_each(|_| _ = relay.call_with("eject"));
+    supervisor.logged("relay takes orders again");
+    assert!(supervisor.page("/state").contains(r#""opened":1,"#));
+}
+
 fn hello(proxy: u32, rate: Value) -> Value {
     json!({"type": "hello", "object": {"node": proxy, "locality": "north", "w": rate, "cold": false}})
 }
