Rename: papers are called config, the field's word

Only renames: the type, its module, the log's messages ('config read again', 'config refused, the old one holds'), the fields config_read and config_refused of /state, the prefix of a fault, CONFIG in the Makefile, pages and tests.

--- a/Makefile
+++ b/Makefile
@@ -11,9 +11,9 @@
 	cargo fmt --all --check
 	cargo clippy --workspace --all-targets --locked -- -D warnings
 
-# PAPERS is the file that the supervisor reads at its start: make run PAPERS=papers.json
+# CONFIG is the file that the supervisor reads at its start: make run CONFIG=config.json
 run: build
-	GW_CONFIG=$(PAPERS) target/release/otterwinch serve
+	GW_CONFIG=$(CONFIG) target/release/otterwinch serve
 
 check: build
-	target/release/otterwinch check $(PAPERS)
+	target/release/otterwinch check $(CONFIG)
--- a/standin/src/rig.rs
+++ b/standin/src/rig.rs
@@ -34,7 +34,7 @@
     Fixed { weights: Vec<Vec<f64>>, levels: Vec<f64> },
     /// Supervisors in this process, without sockets.
     Inside,
-    /// This program, in a process of its own for each supervisor, over the published protocol. Its papers and log go to
+    /// This program, in a process of its own for each supervisor, over the published protocol. Its config and log go to
     /// that folder.
     Program { path: PathBuf, folder: PathBuf },
 }
@@ -202,8 +202,8 @@
         let hosts: Vec<_> = self.entries(&all).iter().map(Entry::json).collect();
         let known = json!({"seq": 1, "whole": true, "hosts": hosts});
         let name = format!("supervisor-{k}");
-        let papers = word::papers(fleet, &name, &listen, &list.address, &relay.address, known, seed);
-        let process = start_program(path, folder, &name, &papers.to_string())?;
+        let config = word::config(fleet, &name, &listen, &list.address, &relay.address, known, seed);
+        let process = start_program(path, folder, &name, &config.to_string())?;
         answers(&listen).await.map_err(|e| {
             let log = folder.join(format!("{name}.log"));
             io::Error::other(format!(
@@ -454,9 +454,9 @@
     Ok(std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()?.to_string())
 }
 
-fn start_program(path: &Path, folder: &Path, name: &str, papers: &str) -> io::Result<Child> {
+fn start_program(path: &Path, folder: &Path, name: &str, config: &str) -> io::Result<Child> {
     let (file, log) = (folder.join(format!("{name}.json")), folder.join(format!("{name}.log")));
-    std::fs::write(&file, papers)?;
+    std::fs::write(&file, config)?;
     let mut command = Command::new(path);
     for var in ["GW_NAME", "GW_LISTEN", "GW_DISCOVERY"] {
         command.env_remove(var);
--- a/standin/src/word.rs
+++ b/standin/src/word.rs
@@ -1,4 +1,4 @@
-//! What a supervisor in a process of its own is told: its papers at its start, and the collectors' frames.
+//! What a supervisor in a process of its own is told: its config at its start, and the collectors' frames.
 
 use crate::forwarder::Forwarder;
 use otterwinch_fleet::model::Fleet;
@@ -10,8 +10,8 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, sleep_until, Instant};
 
-/// The papers of a supervisor of this fleet.
-pub fn papers(
+/// The config of a supervisor of this fleet.
+pub fn config(
     fleet: &Fleet,
     name: &str,
     listen: &str,
--- a/supervisor/src/collectors.rs
+++ b/supervisor/src/collectors.rs
@@ -1,10 +1,10 @@
 //! Collectors: who has joined at our address, in frames of a four-byte length and one JSON object, and what it
 //! reports. Every field that is used is checked before the rules hear any.
 
+use crate::config::Names;
 use crate::errors::{chain, Came, Failed};
 use crate::limits::within;
 use crate::log::Sparing;
-use crate::papers::Names;
 use crate::planner::Ear;
 use futures_util::{SinkExt, StreamExt};
 use hyper::body::Bytes;
--- a/supervisor/src/papers.rs
+++ b/supervisor/src/config.rs
@@ -1,4 +1,4 @@
-//! The papers of a supervisor: one file, checked against the environment and itself, read at the start and again
+//! The config of a supervisor: one file, checked against the environment and itself, read at the start and again
 //! at each SIGHUP. A new file may move our peers; what it can't change while we run is refused.
 
 use crate::list;
@@ -41,15 +41,15 @@
     names.iter().position(|known| known == name).map(|k| k as u32)
 }
 
-/// Connections at our address, whatever the papers allow.
+/// Connections at our address, whatever the config allows.
 const MOST_CONNECTIONS: u64 = 512;
 const MOST_LIST_BYTES: u64 = 4 << 20;
 /// Orders name products by the bits of a word.
 const MOST_PRODUCTS: usize = Products::BITS as usize;
-/// Proxy numbers of papers that do not say how many there are.
+/// Proxy numbers of a config that does not say how many there are.
 const MOST_PROXIES: u32 = 65_536;
 
-pub struct Papers {
+pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
     pub list: SocketAddr,
@@ -64,7 +64,7 @@
     pub list_bytes: usize,
 }
 
-impl Papers {
+impl Config {
     /// Reads the file that the environment names; every fault found, a line each.
     pub fn from_file(path: Option<&str>, env: impl Fn(&str) -> Option<String>) -> Result<Self, Vec<String>> {
         let path = match path.map(str::to_owned).or_else(|| env("GW_CONFIG")) {
@@ -74,28 +74,28 @@
         let text = std::fs::read(&path).map_err(|e| vec![format!("{path} can't be read: {e}")])?;
         let value: Value =
             serde_json::from_slice(&text).map_err(|e| vec![format!("{path} is not JSON: {e}")])?;
-        Papers::read(&value, env)
+        Config::read(&value, env)
     }
 
     pub fn read(value: &Value, env: impl Fn(&str) -> Option<String>) -> Result<Self, Vec<String>> {
-        let f = Fields::named(value, "papers").map_err(|e| vec![e])?;
+        let f = Fields::named(value, "config").map_err(|e| vec![e])?;
         let mut faults = Faults::default();
         // Not so the list's address: a file that was replaced moves it, and the environment never changes.
         for (field, var) in [("name", "GW_NAME"), ("listen", "GW_LISTEN")] {
             if let (Ok(told), Some(other)) = (f.text(field), env(var)) {
                 faults.unless(told == other, || {
-                    format!("papers: field '{field}' is '{told}' but {var} says '{other}'")
+                    format!("config: field '{field}' is '{told}' but {var} says '{other}'")
                 });
             }
         }
         let name = faults.none_in(f.text("name")).unwrap_or_default().to_owned();
         let listen = faults.none_in(address("listen", f.text("listen")));
         let list = faults.none_in(address("discovery", f.text("discovery")));
-        let relay = f.value("relay").and_then(|v| Fields::named(v, "papers: 'relay'")?.text("address"));
+        let relay = f.value("relay").and_then(|v| Fields::named(v, "config: 'relay'")?.text("address"));
         let relay = faults.none_in(address("relay.address", relay));
         let seed = faults.none_in(f.text("seed").and_then(|text| {
             u64::from_str_radix(text, 16)
-                .map_err(|_| format!("papers: field 'seed' is not hexadecimal: '{text}'"))
+                .map_err(|_| format!("config: field 'seed' is not hexadecimal: '{text}'"))
         }));
         let settings = faults.none_in(f.object("settings"));
         let figures = settings.unwrap_or(Figures::of(&Value::Null));
@@ -110,26 +110,26 @@
         // On sockets the list answers only when it is asked, whatever the settings say of it.
         let charter = Charter { list_on_request: true, ..charter(&figures) };
         if settings.is_some() {
-            let holds_nothing = |list| move || format!("papers: field 'settings.{list}' holds nothing");
+            let holds_nothing = |list| move || format!("config: field 'settings.{list}' holds nothing");
             faults.unless(!names.zones.is_empty(), holds_nothing("zones"));
             faults.unless(!names.products.is_empty(), holds_nothing("classes"));
             faults.unless(names.products.len() <= MOST_PRODUCTS, || {
-                format!("papers: field 'settings.classes' holds more than {MOST_PRODUCTS}")
+                format!("config: field 'settings.classes' holds more than {MOST_PRODUCTS}")
             });
             faults.unless(charter.slices == 0, || {
-                "papers: field 'settings.familyInfo.slices' is above 0: the relay has no slices".into()
+                "config: field 'settings.familyInfo.slices' is above 0: the relay has no slices".into()
             });
         }
         let known = f
             .value("known")
-            .and_then(|v| list::answer(v, &names).map_err(|e| format!("papers: field 'known': {e}")));
+            .and_then(|v| list::answer(v, &names).map_err(|e| format!("config: field 'known': {e}")));
         let known = faults.none_in(known);
         for entry in known.iter().flat_map(|known| &known.spoilt) {
-            faults.unless(false, || format!("papers: field 'known': {}", entry.why));
+            faults.unless(false, || format!("config: field 'known': {}", entry.why));
         }
         let limit = |name: &str, absent: u64| match f.value("limits") {
             Ok(limits) if limits.get(name).is_some() => {
-                Fields::named(limits, "papers: 'limits'")?.whole(name)
+                Fields::named(limits, "config: 'limits'")?.whole(name)
             }
             _ => Ok(absent),
         };
@@ -142,14 +142,14 @@
                 if faults.0.is_empty() =>
             {
                 let (names, known) = (Rc::new(names), known.listings);
-                Ok(Papers { name, listen, list, relay, seed, names, charter, known, connections, list_bytes })
+                Ok(Config { name, listen, list, relay, seed, names, charter, known, connections, list_bytes })
             }
             _ => Err(faults.0),
         }
     }
 
-    /// Newer papers for a supervisor that runs on these; a fault for each thing that only a start can change.
-    fn followed_by(&self, newer: Papers) -> Result<Papers, Vec<String>> {
+    /// A newer config for a supervisor that runs on this one; a fault for each thing that only a start can change.
+    fn followed_by(&self, newer: Config) -> Result<Config, Vec<String>> {
         let mut faults = Faults::default();
         for (what, stands) in [
             ("name", self.name == newer.name),
@@ -157,7 +157,7 @@
             ("settings", self.names == newer.names && self.charter == newer.charter),
         ] {
             faults
-                .unless(stands, || format!("papers: field '{what}' can't change while the supervisor runs"));
+                .unless(stands, || format!("config: field '{what}' can't change while the supervisor runs"));
         }
         if faults.0.is_empty() {
             Ok(newer)
@@ -168,30 +168,30 @@
 }
 
 /// Reads the file again at each SIGHUP, for ever. Several that come close together are one; whatever stands in
-/// the file after the last is what holds. A faulty file leaves the old papers in force.
+/// the file after the last is what holds. A faulty file leaves the old config in force.
 pub async fn follow(
     mut hangups: Signal,
-    papers: Rc<Papers>,
+    config: Rc<Config>,
     list: watch::Sender<SocketAddr>,
     relay: watch::Sender<SocketAddr>,
     seen: Rc<Seen>,
     log: Logger,
 ) {
     while hangups.recv().await.is_some() {
-        let newer = Papers::from_file(None, |name| std::env::var(name).ok());
-        let newer = newer.and_then(|newer| papers.followed_by(newer));
-        if newer.is_ok() { &seen.papers_read } else { &seen.papers_refused }.more();
+        let newer = Config::from_file(None, |name| std::env::var(name).ok());
+        let newer = newer.and_then(|newer| config.followed_by(newer));
+        if newer.is_ok() { &seen.config_read } else { &seen.config_refused }.more();
         match newer {
             Ok(newer) => {
                 let moved = [(&list, newer.list), (&relay, newer.relay)]
                     .map(|(peer, to)| peer.send_if_modified(|at| std::mem::replace(at, to) != to));
-                info!(log, "papers read again"; "list" => %newer.list, "list_moved" => moved[0],
+                info!(log, "config read again"; "list" => %newer.list, "list_moved" => moved[0],
                     "relay" => %newer.relay, "relay_moved" => moved[1]);
             }
             Err(faults) => {
                 faults
                     .iter()
-                    .for_each(|fault| warn!(log, "papers refused, the old ones hold"; "why" => fault));
+                    .for_each(|fault| warn!(log, "config refused, the old one holds"; "why" => fault));
             }
         }
     }
@@ -199,10 +199,10 @@
 
 fn address(field: &str, text: Result<&str, String>) -> Result<SocketAddr, String> {
     let text = text?;
-    text.parse().map_err(|_| format!("papers: field '{field}' is no address with a port: '{text}'"))
+    text.parse().map_err(|_| format!("config: field '{field}' is no address with a port: '{text}'"))
 }
 
-/// All that is wrong, not only the first: who mends the papers should need to look once.
+/// All that is wrong, not only the first: who mends the config should need to look once.
 #[derive(Default)]
 struct Faults(Vec<String>);
 
--- a/supervisor/src/desk.rs
+++ b/supervisor/src/desk.rs
@@ -1,7 +1,7 @@
 //! The rules' way out: writes what they order down as the relay reads it, keeps their wake-ups, and remembers
 //! what stands outside so that rules that broke can be opened anew.
 
-use crate::papers::Names;
+use crate::config::Names;
 use otterwinch::host::{Host, Id, Listing, Products, Retry, Standing};
 use otterwinch::time::{Moment, Span};
 use otterwinch_hostkit::Checks;
--- a/supervisor/src/front.rs
+++ b/supervisor/src/front.rs
@@ -2,10 +2,10 @@
 //! collectors' side, HTTP to a small read-only page on axum.
 
 use crate::collectors;
+use crate::config::Names;
 use crate::errors::{chain, Came, Failed};
 use crate::limits::within;
 use crate::log::Sparing;
-use crate::papers::Names;
 use crate::planner::Ear;
 use axum::extract::State;
 use axum::http::header::CONTENT_TYPE;
--- a/supervisor/src/list.rs
+++ b/supervisor/src/list.rs
@@ -2,9 +2,9 @@
 //! when to ask again. What can't be read of an answer is left out alone: the last good state of it stands.
 
 use crate::client::Peer;
+use crate::config::Names;
 use crate::errors::{Came, Failed};
 use crate::log::Sparing;
-use crate::papers::Names;
 use crate::planner::Ear;
 use hyper::body::Bytes;
 use hyper::{Method, StatusCode};
--- a/supervisor/src/main.rs
+++ b/supervisor/src/main.rs
@@ -3,6 +3,7 @@
 mod cli;
 mod client;
 mod collectors;
+mod config;
 mod desk;
 mod dials;
 mod errors;
@@ -12,12 +13,11 @@
 mod log;
 mod news;
 mod orders;
-mod papers;
 mod planner;
 mod tasks;
 
+use config::Config;
 use limits::within;
-use papers::Papers;
 use planner::Planner;
 use slog::{error, info, warn, Logger};
 use std::process::ExitCode;
@@ -40,15 +40,15 @@
             println!("otterwinch {}", env!("CARGO_PKG_VERSION"));
             ExitCode::SUCCESS
         }
-        cli::Command::Check { file } => match Papers::from_file(file.as_deref(), env) {
-            Ok(papers) => {
-                println!("papers of {} are in order", papers.name);
+        cli::Command::Check { file } => match Config::from_file(file.as_deref(), env) {
+            Ok(config) => {
+                println!("config of {} is in order", config.name);
                 ExitCode::SUCCESS
             }
             Err(faults) => faulty(&faults),
         },
-        cli::Command::Serve => match Papers::from_file(None, env) {
-            Ok(papers) => start(papers),
+        cli::Command::Serve => match Config::from_file(None, env) {
+            Ok(config) => start(config),
             Err(faults) => faulty(&faults),
         },
     }
@@ -59,10 +59,10 @@
     ExitCode::from(2)
 }
 
-fn start(papers: Papers) -> ExitCode {
-    let (log, guard) = log::to_stderr(&papers.name);
+fn start(config: Config) -> ExitCode {
+    let (log, guard) = log::to_stderr(&config.name);
     let ended = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
-        Ok(runtime) => LocalSet::new().block_on(&runtime, serve(papers, log.clone())),
+        Ok(runtime) => LocalSet::new().block_on(&runtime, serve(config, log.clone())),
         Err(e) => Err(e),
     };
     let code = match ended {
@@ -77,20 +77,20 @@
     code
 }
 
-async fn serve(papers: Papers, log: Logger) -> std::io::Result<()> {
+async fn serve(config: Config, log: Logger) -> std::io::Result<()> {
     let (mut told_to_end, mut interrupted) =
         (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
     // Before we answer anybody: without a handler a SIGHUP ends the process.
     let hangups = signal(SignalKind::hangup())?;
-    let papers = Rc::new(papers);
-    let (list_moves, list) = watch::channel(papers.list);
-    let (relay_moves, relay) = watch::channel(papers.relay);
+    let config = Rc::new(config);
+    let (list_moves, list) = watch::channel(config.list);
+    let (relay_moves, relay) = watch::channel(config.relay);
     let orders = orders::Orders::to(relay.clone());
-    let (mut planner, ear, page) = Planner::open(papers.clone(), orders, log.clone());
+    let (mut planner, ear, page) = Planner::open(config.clone(), orders, log.clone());
     let follow = planner.follow();
-    let listener = TcpListener::bind(papers.listen).await?;
+    let listener = TcpListener::bind(config.listen).await?;
     info!(log, "started"; "version" => env!("CARGO_PKG_VERSION"), "listen" => %listener.local_addr()?);
-    let (names, seen, list_bytes) = (papers.names.clone(), ear.seen.clone(), papers.list_bytes);
+    let (names, seen, list_bytes) = (config.names.clone(), ear.seen.clone(), config.list_bytes);
     let front = front::Front { names: names.clone(), ear: ear.clone(), page, log: log.clone() };
     {
         let (names, ear, log) = (names.clone(), ear.clone(), log.clone());
@@ -108,12 +108,12 @@
         });
     }
     let end = CancellationToken::new();
-    let mut front = spawn_local(front::serve(listener, front, papers.connections, end.clone()));
+    let mut front = spawn_local(front::serve(listener, front, config.connections, end.clone()));
     let mut planner = spawn_local(planner.run(end.clone()));
     let why = tokio::select! {
         ended = &mut planner => return Err(unasked("the planner", ended)),
         ended = &mut front => return Err(unasked("our address", ended)),
-        () = papers::follow(hangups, papers, list_moves, relay_moves, seen, log.clone()) => {
+        () = config::follow(hangups, config, list_moves, relay_moves, seen, log.clone()) => {
             return Err(std::io::Error::other("signals are heard no more"));
         }
         _ = told_to_end.recv() => "told to end",
--- a/supervisor/src/news.rs
+++ b/supervisor/src/news.rs
@@ -2,11 +2,11 @@
 //! while it is silent; a new one tells anew who is joined, and whoever it does not name has left.
 
 use crate::client::Peer;
+use crate::config::Names;
 use crate::desk::Desk;
 use crate::errors::{chain, Came, Failed};
 use crate::limits::within;
 use crate::log::Sparing;
-use crate::papers::Names;
 use crate::planner::Ear;
 use futures_util::{Stream, StreamExt, TryStreamExt};
 use http_body_util::BodyDataStream;
--- a/supervisor/src/planner.rs
+++ b/supervisor/src/planner.rs
@@ -1,10 +1,10 @@
 //! The task that owns the rules and the clock. One round, top to bottom: wait for something, drain all that
 //! is ready, tell it to the rules with one moment, send what they ordered as one call, tell them its fate.
 
+use crate::config::Config;
 use crate::desk::{About, Desk};
 use crate::errors::Came;
 use crate::orders::{Fate, Orders};
-use crate::papers::Papers;
 use otterwinch::rules::Rules;
 use otterwinch::time::{Moment, Span};
 use otterwinch_hostkit::{caught, Checks};
@@ -30,14 +30,14 @@
     pub seen: Rc<Seen>,
 }
 
-/// What went amiss at our address and with the papers, counted for the page.
+/// What went amiss at our address and with the config, counted for the page.
 #[derive(Default)]
 pub struct Seen {
     pub dropped: Count,
     pub ended: Count,
     pub turned_away: Count,
-    pub papers_read: Count,
-    pub papers_refused: Count,
+    pub config_read: Count,
+    pub config_refused: Count,
 }
 
 #[derive(Default)]
@@ -75,7 +75,7 @@
 
 pub struct Planner {
     rules: Rules<Desk>,
-    papers: Rc<Papers>,
+    config: Rc<Config>,
     clock: Clock,
     orders: Orders,
     /// A call came to nothing: what is in hand goes again when the rules say so, and nothing before it.
@@ -93,13 +93,13 @@
 }
 
 impl Planner {
-    pub fn open(papers: Rc<Papers>, orders: Orders, log: Logger) -> (Self, Ear, watch::Receiver<String>) {
+    pub fn open(config: Rc<Config>, orders: Orders, log: Logger) -> (Self, Ear, watch::Receiver<String>) {
         let clock = Clock::start();
         let now = clock.now();
-        let desk = Desk::new(Checks::new(&papers.charter), papers.names.clone(), now, log.clone());
-        let mut rules = Rules::open(desk, papers.charter.clone(), papers.seed, now);
-        rules.host().learn(&papers.known, true);
-        rules.list_whole(now, &papers.known);
+        let desk = Desk::new(Checks::new(&config.charter), config.names.clone(), now, log.clone());
+        let mut rules = Rules::open(desk, config.charter.clone(), config.seed, now);
+        rules.host().learn(&config.known, true);
+        rules.list_whole(now, &config.known);
         let (ear, told) = mpsc::channel(QUEUE);
         let seen = Rc::<Seen>::default();
         let (page, shown) = watch::channel(String::from("{}"));
@@ -107,7 +107,7 @@
         let (paged, summed) = (now, now);
         let planner = Planner {
             rules,
-            papers,
+            config,
             clock,
             orders,
             lost,
@@ -241,15 +241,15 @@
     /// and one that was barred would never be let back in.
     fn open_anew(&mut self, now: Moment) {
         error!(self.log, "the rules are opened anew");
-        let new = Desk::new(Checks::default(), self.papers.names.clone(), now, self.log.clone());
+        let new = Desk::new(Checks::default(), self.config.names.clone(), now, self.log.clone());
         let mut desk = std::mem::replace(self.rules.host(), new);
         desk.cleared();
         self.orders.in_hand.clear();
         (self.lost, self.unfit, self.opened) = (false, false, self.opened + 1);
         let (listed, gone) = desk.stands();
         let joined = desk.joined.clone();
-        let seed = self.papers.seed.wrapping_add(self.opened);
-        self.rules = Rules::open(desk, self.papers.charter.clone(), seed, now);
+        let seed = self.config.seed.wrapping_add(self.opened);
+        self.rules = Rules::open(desk, self.config.charter.clone(), seed, now);
         let tell = |rules: &mut Rules<Desk>| {
             rules.list_changed(now, &gone);
             rules.list_whole(now, &listed);
@@ -269,18 +269,18 @@
         let (calls, lost_calls, opened, lost) = (self.orders.calls, self.lost_calls, self.opened, self.lost);
         let desk = self.rules.host();
         let (servers, proxies, ordered) = (desk.servers(), desk.joined.len(), desk.ordered);
-        let [dropped, ended, turned_away, papers_read, papers_refused] = [
+        let [dropped, ended, turned_away, config_read, config_refused] = [
             &self.seen.dropped,
             &self.seen.ended,
             &self.seen.turned_away,
-            &self.seen.papers_read,
-            &self.seen.papers_refused,
+            &self.seen.config_read,
+            &self.seen.config_refused,
         ]
         .map(|count| count.0.get());
         let page = json!({"servers": servers, "proxies": proxies, "orders": ordered, "calls": calls,
             "calls_lost": lost_calls, "opened": opened, "relay_away": lost, "dropped": dropped,
-            "ended": ended, "turned_away": turned_away, "papers_read": papers_read,
-            "papers_refused": papers_refused});
+            "ended": ended, "turned_away": turned_away, "config_read": config_read,
+            "config_refused": config_refused});
         self.page.send_replace(page.to_string());
         if now - self.summed >= SUMMARY_EVERY {
             self.summed = now;
--- a/supervisor/src/planner/tests.rs
+++ b/supervisor/src/planner/tests.rs
@@ -3,13 +3,13 @@
 use slog::{o, Discard};
 
 fn planner() -> Planner {
-    let papers = json!({"name": "n1", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "7",
+    let config = json!({"name": "n1", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "7",
         "relay": {"address": "127.0.0.1:2"},
         "known": {"seq": 4, "whole": true, "hosts": [{"host": "a", "site": "north", "health": "active"}]},
         "settings": {"zones": ["north"], "classes": [{"name": "quote", "promiseUs": 1_000_000}]}});
-    let papers = Papers::read(&papers, |_| None).unwrap();
-    let orders = Orders::to(watch::channel(papers.relay).1);
-    Planner::open(Rc::new(papers), orders, Logger::root(Discard, o!())).0
+    let config = Config::read(&config, |_| None).unwrap();
+    let orders = Orders::to(watch::channel(config.relay).1);
+    Planner::open(Rc::new(config), orders, Logger::root(Discard, o!())).0
 }
 
 #[test]
--- a/supervisor/tests/sockets/common.rs
+++ b/supervisor/tests/sockets/common.rs
@@ -403,7 +403,7 @@
     }
 }
 
-pub fn papers(list: SocketAddr, relay: SocketAddr) -> Value {
+pub fn config(list: SocketAddr, relay: SocketAddr) -> Value {
     json!({"name": "n1", "listen": "127.0.0.1:0", "discovery": list.to_string(), "seed": "8c1f30d27a5be964",
         "relay": {"address": relay.to_string()},
         "known": {"seq": 0, "whole": true, "hosts": []},
@@ -418,7 +418,7 @@
             "replicasOfMe": 1}})
 }
 
-/// A file of papers that goes when it is dropped.
+/// A config file that goes when it is dropped.
 pub struct File(pub PathBuf);
 
 impl File {
@@ -448,16 +448,16 @@
     pub child: Child,
     pub address: SocketAddr,
     log: Receiver<Value>,
-    papers: File,
+    config: File,
 }
 
 impl Supervisor {
     pub fn start(list: &List, relay: &Relay) -> Supervisor {
-        Supervisor::with(&papers(list.address, relay.address))
+        Supervisor::with(&config(list.address, relay.address))
     }
 
-    pub fn with(papers: &Value) -> Supervisor {
-        let file = File::with(&papers.to_string());
+    pub fn with(config: &Value) -> Supervisor {
+        let file = File::with(&config.to_string());
         let mut program = program();
         let mut child =
             program.arg("serve").env("GW_CONFIG", &file.0).stderr(Stdio::piped()).spawn().unwrap();
@@ -469,7 +469,7 @@
             }
         });
         let address = ([127, 0, 0, 1], 0).into();
-        let mut supervisor = Supervisor { child, address, log, papers: file };
+        let mut supervisor = Supervisor { child, address, log, config: file };
         supervisor.address = supervisor.logged("started")["listen"].as_str().unwrap().parse().unwrap();
         supervisor.logged("news found");
         supervisor
@@ -495,9 +495,9 @@
         text
     }
 
-    /// Puts another file in the place of the papers and tells so.
-    pub fn reads_again(&self, papers: &str) {
-        std::fs::write(&self.papers.0, papers).unwrap();
+    /// Puts another file in the place of the config and tells so.
+    pub fn reads_again(&self, config: &str) {
+        std::fs::write(&self.config.0, config).unwrap();
         self.signal("HUP");
     }
 
--- a/supervisor/tests/sockets/endings.rs
+++ b/supervisor/tests/sockets/endings.rs
@@ -1,7 +1,7 @@
 //! What is still owed as something ends: the process, a collector's connection, the address. Each crossing is
 //! forced: by a call that the relay holds, or by a process that stands still while all of it comes.
 
-use crate::common::{frame, papers, read_frame, server, until, Does, List, Relay, Supervisor};
+use crate::common::{config, frame, read_frame, server, until, Does, List, Relay, Supervisor};
 use crate::{assert_answers_a_probe, serving, started};
 use serde_json::{json, Value};
 use std::io::{ErrorKind, Read, Write};
@@ -106,7 +106,7 @@
     supervisor.child.kill().unwrap();
     supervisor.child.wait().unwrap();
     relay.releases();
-    let mut old = papers(list.address, relay.address);
+    let mut old = config(list.address, relay.address);
     old["known"]["hosts"] = json!([server("a", "active"), server("b", "active")]);
     let _again = Supervisor::with(&old);
     let mut lines = Vec::new();
@@ -178,9 +178,9 @@
 #[test]
 fn a_flood_of_strangers_while_a_call_is_out_keeps_no_collector_out_and_no_order_back() {
     let (list, relay) = (List::start(&["a", "b"]), Relay::start());
-    let mut papers = papers(list.address, relay.address);
-    papers["limits"] = json!({"sockets": 256, "memory_mb": 32});
-    let supervisor = Supervisor::with(&papers);
+    let mut config = config(list.address, relay.address);
+    config["limits"] = json!({"sockets": 256, "memory_mb": 32});
+    let supervisor = Supervisor::with(&config);
     relay.joins(7);
     relay.order("attach");
     in_a_call(&relay, &list);
--- a/supervisor/tests/sockets/main.rs
+++ b/supervisor/tests/sockets/main.rs
@@ -5,7 +5,7 @@
 mod list;
 mod relay;
 
-use common::{frame, papers, program, read_frame, server, until, Does, File, List, Relay, Supervisor};
+use common::{config, frame, program, read_frame, server, until, Does, File, List, Relay, Supervisor};
 use serde_json::{json, Value};
 use std::io::{Read, Write};
 use std::net::TcpStream;
@@ -241,9 +241,9 @@
 #[test]
 fn hundreds_who_say_nothing_keep_no_collector_out() {
     let (list, relay) = (List::start(&["a"]), Relay::start());
-    let mut papers = papers(list.address, relay.address);
-    papers["limits"] = json!({"sockets": 256, "memory_mb": 32});
-    let supervisor = Supervisor::with(&papers);
+    let mut config = config(list.address, relay.address);
+    config["limits"] = json!({"sockets": 256, "memory_mb": 32});
+    let supervisor = Supervisor::with(&config);
     let mut first = supervisor.collector();
     let _strangers: Vec<TcpStream> = (0..300).map(|_| supervisor.connect()).collect();
     let mut collector = supervisor.collector();
@@ -279,17 +279,17 @@
     assert_answers_a_probe(&mut good);
 }
 
-/// The papers replaced by ones that name another list and another relay.
+/// The config replaced by one that names another list and another relay.
 fn moved(supervisor: &Supervisor, ids: &[&str], proxy: u32) -> (List, Relay) {
     let (list, relay) = (List::start(ids), Relay::start());
     relay.joins(proxy);
-    supervisor.reads_again(&papers(list.address, relay.address).to_string());
-    supervisor.logged("papers read again");
+    supervisor.reads_again(&config(list.address, relay.address).to_string());
+    supervisor.logged("config read again");
     (list, relay)
 }
 
 #[test]
-fn new_papers_move_list_orders_and_news_and_a_second_file_does_so_again() {
+fn a_new_config_moves_list_orders_and_news_and_a_second_file_does_so_again() {
     let (_list, _relay, supervisor) = serving();
     let mut collector = supervisor.collector();
     for n in [8, 9] {
@@ -317,27 +317,27 @@
 }
 
 #[test]
-fn faulty_papers_change_nothing_and_every_fault_is_logged() {
+fn a_faulty_config_changes_nothing_and_every_fault_is_logged() {
     let (list, relay, supervisor) = serving();
     supervisor.reads_again("{\"name\":");
-    supervisor.logged("papers refused, the old ones hold");
-    let mut other = papers(([127, 0, 0, 1], 1).into(), ([127, 0, 0, 1], 2).into());
+    supervisor.logged("config refused, the old one holds");
+    let mut other = config(([127, 0, 0, 1], 1).into(), ([127, 0, 0, 1], 2).into());
     other["settings"]["zones"] = json!(["elsewhere"]);
     other["name"] = "n2".into();
     supervisor.reads_again(&other.to_string());
     for field in ["'name'", "'settings'"] {
-        let why = supervisor.logged("papers refused, the old ones hold")["why"].to_string();
+        let why = supervisor.logged("config refused, the old one holds")["why"].to_string();
         assert!(why.contains(field), "{why}");
     }
-    let counted = || supervisor.page("/state").contains(r#""papers_refused":2"#).then_some(());
+    let counted = || supervisor.page("/state").contains(r#""config_refused":2"#).then_some(());
     until("both counted", counted);
     list.changes(&[server("a", "leaving")]);
     assert_eq!(relay.order("eject")["endpoint"], "a");
 }
 
 #[test]
-fn a_start_after_the_list_has_moved_goes_by_the_papers() {
-    let file = File::with(&sound_papers().to_string());
+fn a_start_after_the_list_has_moved_goes_by_the_config() {
+    let file = File::with(&sound_config().to_string());
     let check = program().arg("check").arg(&file.0).env("GW_DISCOVERY", "127.0.0.1:3").status().unwrap();
     assert!(check.success());
 }
@@ -394,54 +394,54 @@
     (out.status.code(), String::from_utf8(out.stderr).unwrap())
 }
 
-fn sound_papers() -> Value {
-    papers(([127, 0, 0, 1], 1).into(), ([127, 0, 0, 1], 2).into())
+fn sound_config() -> Value {
+    config(([127, 0, 0, 1], 1).into(), ([127, 0, 0, 1], 2).into())
 }
 
 #[test]
-fn sound_papers_pass_the_check() {
-    assert_eq!(check(&sound_papers().to_string()), (Some(0), String::new()));
+fn a_sound_config_passes_the_check() {
+    assert_eq!(check(&sound_config().to_string()), (Some(0), String::new()));
 }
 
 #[test]
-fn every_fault_in_the_papers_is_named() {
-    let mut papers = sound_papers();
-    papers["relay"] = json!({});
-    papers["seed"] = "xyz".into();
-    papers["settings"]["classes"] = json!([]);
-    let (code, said) = check(&papers.to_string());
+fn every_fault_in_the_config_is_named() {
+    let mut config = sound_config();
+    config["relay"] = json!({});
+    config["seed"] = "xyz".into();
+    config["settings"]["classes"] = json!([]);
+    let (code, said) = check(&config.to_string());
     assert_eq!((code, said.lines().count()), (Some(2), 3), "{said}");
     ["'address'", "'seed'", "'settings.classes'"].iter().for_each(|f| assert!(said.contains(f), "{said}"));
 }
 
 #[test]
 fn more_classes_than_orders_can_name_are_refused() {
-    let mut papers = sound_papers();
+    let mut config = sound_config();
     let class = |n| json!({"name": format!("c{n}"), "promiseUs": 1_000_000, "importance": 1.0});
-    papers["settings"]["classes"] = (0..64).map(class).collect();
-    assert_eq!(check(&papers.to_string()).0, Some(0));
-    papers["settings"]["classes"] = (0..65).map(class).collect();
-    let said = "otterwinch: papers: field 'settings.classes' holds more than 64\n";
-    assert_eq!(check(&papers.to_string()), (Some(2), said.into()));
+    config["settings"]["classes"] = (0..64).map(class).collect();
+    assert_eq!(check(&config.to_string()).0, Some(0));
+    config["settings"]["classes"] = (0..65).map(class).collect();
+    let said = "otterwinch: config: field 'settings.classes' holds more than 64\n";
+    assert_eq!(check(&config.to_string()), (Some(2), said.into()));
 }
 
 #[test]
 fn a_missing_field_is_named_once() {
-    let mut papers = sound_papers();
-    papers.as_object_mut().unwrap().remove("known");
-    assert_eq!(check(&papers.to_string()).1, "otterwinch: papers: field 'known' is missing\n");
+    let mut config = sound_config();
+    config.as_object_mut().unwrap().remove("known");
+    assert_eq!(check(&config.to_string()).1, "otterwinch: config: field 'known' is missing\n");
 }
 
 #[test]
-fn papers_that_contradict_the_environment_are_refused() {
-    let file = File::with(&sound_papers().to_string());
+fn a_config_that_contradicts_the_environment_is_refused() {
+    let file = File::with(&sound_config().to_string());
     let out = program().arg("serve").env("GW_CONFIG", &file.0).env("GW_NAME", "n9").output().unwrap();
     let said = String::from_utf8(out.stderr).unwrap();
     assert_eq!((out.status.code(), said.contains("'name' is 'n1' but GW_NAME says 'n9'")), (Some(2), true));
 }
 
 #[test]
-fn missing_and_unreadable_papers_are_one_plain_line() {
+fn a_missing_or_unreadable_config_is_one_plain_line() {
     let out = program().arg("serve").output().unwrap();
     assert_eq!((out.status.code(), out.stderr), (Some(2), b"otterwinch: GW_CONFIG names no file\n".to_vec()));
     assert_eq!(check("{\"name\":").1.lines().count(), 1);
--- a/supervisor/tests/sockets/relay.rs
+++ b/supervisor/tests/sockets/relay.rs
@@ -1,6 +1,6 @@
 //! Calls to the relay whose answers are late, cut, doubled or impossible, and news that can't be read in parts.
 
-use crate::common::{papers, server, until, Does, List, Relay};
+use crate::common::{config, server, until, Does, List, Relay};
 use crate::{comes_again_when_the_relay, serving};
 use serde_json::{json, Value};
 
@@ -74,8 +74,8 @@
     let lost = relay.call_with("eject");
     let (other, new) = (List::start(&["b"]), Relay::start());
     new.joins(7);
-    supervisor.reads_again(&papers(other.address, new.address).to_string());
-    supervisor.logged("papers read again");
+    supervisor.reads_again(&config(other.address, new.address).to_string());
+    supervisor.logged("config read again");
     let mut first = new.call();
     first.retain(|order| order["op"] != "fence");
     assert_eq!(first, lost);
