--- a/src/rules.rs
+++ b/src/rules.rs
@@ -465,7 +465,7 @@
         let waiting = self.ledger.waiting(now);
         let through = Span::secs(waiting / self.charter.channel_rate.max(1.0)) + self.charter.way_most * 2.0;
         if waiting > self.lines_may_wait(false) && now - self.ledger.spoken > through {
-            // All answers that were due are lost, with their proxies or with the news: one is asked anew.
+            // All answers due are lost, with their proxies or with the event stream: one is asked anew.
             let asked = self.proxies_that(|p| self.usable(p.tbl));
             let place = (asked.len() as f64 * self.chance.unit()) as usize;
             asked.get(place).into_iter().for_each(|proxy| self.bind(now, *proxy));
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -298,7 +298,7 @@
     assert_eq!(rules.host.count("bind 0 0"), 1);
 }
 
-/// As when the news was reopened: nobody left, and the relay goes on sending them their table's lines.
+/// As when the event stream was reopened: nobody left, and the relay goes on sending them their table's lines.
 #[test]
 fn lines_to_proxies_told_of_anew_are_still_counted() {
     let mut rules = running(charter(), &["a", "b"], 4);
--- a/standin/src/relay.rs
+++ b/standin/src/relay.rs
@@ -1,4 +1,4 @@
-//! The stand-in relay, by its protocol: takes orders, tells the news.
+//! The stand-in relay, by its protocol: takes orders, tells the events.
 
 use crate::net::{Listener, Net};
 use crate::plane::{Applied, Between};
@@ -22,8 +22,8 @@
 use tokio_stream::StreamExt;
 
 const MOST_BYTES: usize = 60_000;
-/// News that a reader may be behind.
-const NEWS: usize = 8_192;
+/// Events that a reader may be behind.
+const BEHIND: usize = 8_192;
 
 /// Names of a supervisor's settings, by their places.
 pub struct Names {
@@ -35,7 +35,7 @@
 struct Shared {
     between: Arc<Between>,
     names: Names,
-    news: broadcast::Sender<String>,
+    events: broadcast::Sender<String>,
     /// The `hello` of each forwarder that is joined.
     joined: Mutex<BTreeMap<u32, String>>,
 }
@@ -53,8 +53,8 @@
         names: Names,
     ) -> std::io::Result<Relay> {
         let (listener, address) = net.listen("relay", None).await?;
-        let news = broadcast::channel(NEWS).0;
-        let shared = Arc::new(Shared { between, names, news, joined: Mutex::default() });
+        let events = broadcast::channel(BEHIND).0;
+        let shared = Arc::new(Shared { between, names, events, joined: Mutex::default() });
         tokio::spawn(serve(listener, shared.clone()));
         let tells = shared.clone();
         tokio::spawn(async move {
@@ -62,7 +62,7 @@
                 let latency = took.as_secs_f64() * 1e3;
                 let ack =
                     json!({"type": "ack", "object": {"node": forwarder, "nonce": mark, "latency": latency}});
-                let _ = tells.news.send(format!("{ack}\n"));
+                let _ = tells.events.send(format!("{ack}\n"));
             }
         });
         Ok(Relay { address, shared })
@@ -74,13 +74,14 @@
         let line = format!("{}\n", json!({"type": "hello", "object": object}));
         self.shared.between.joins(forwarder);
         self.shared.joined.lock().expect("no holder panics").insert(forwarder, line.clone());
-        let _ = self.shared.news.send(line);
+        let _ = self.shared.events.send(line);
     }
 
     pub fn leaves(&self, forwarder: u32) {
         self.shared.between.leaves(forwarder);
         self.shared.joined.lock().expect("no holder panics").remove(&forwarder);
-        let _ = self.shared.news.send(format!("{}\n", json!({"type": "bye", "object": {"node": forwarder}})));
+        let _ =
+            self.shared.events.send(format!("{}\n", json!({"type": "bye", "object": {"node": forwarder}})));
     }
 }
 
@@ -100,7 +101,7 @@
                 let shared = shared.clone();
                 async move {
                     Ok::<_, Infallible>(match (message.method(), message.uri().path()) {
-                        (&Method::GET, "/v3/kv/stream") => news(&shared),
+                        (&Method::GET, "/v3/kv/stream") => events(&shared),
                         (&Method::POST, "/v3/kv/batches") => call(message, &shared).await,
                         _ => whole(StatusCode::BAD_REQUEST, json!({"error": "invalid"})),
                     })
@@ -112,10 +113,10 @@
 }
 
 /// Opens with who is joined, then tells what happens, and that it lives.
-fn news(shared: &Arc<Shared>) -> Response<Body> {
+fn events(shared: &Arc<Shared>) -> Response<Body> {
     let (lines, taken) = mpsc::channel::<String>(64);
     let shared = shared.clone();
-    let mut told = shared.news.subscribe();
+    let mut told = shared.events.subscribe();
     tokio::spawn(async move {
         let stands: Vec<String> = shared.joined.lock().expect("no holder panics").values().cloned().collect();
         for line in stands.into_iter().chain(["{}\n".to_owned()]) {
--- a/supervisor/src/news.rs
+++ b/supervisor/src/events.rs
@@ -1,4 +1,4 @@
-//! The relay's news: which proxies are joined and what has come to them. One connection, and another beside it
+//! The relay's event stream: which proxies are joined and what has come to them. One connection, and another beside it
 //! while it is silent; a new one tells anew who is joined, and whoever it does not name has left.
 
 use crate::client::Peer;
@@ -55,7 +55,7 @@
     named: Option<BTreeSet<u32>>,
 }
 
-/// Follows the news for ever. A connection that is silent is kept until another speaks: one that speaks again has
+/// Follows the event stream for ever. A connection that is silent is kept until another speaks: one that speaks again has
 /// missed nothing, and no proxy need be bound anew. One that broke may have missed any coming or going: the next
 /// names all, and whoever it does not name has left. A relay that has moved is heard at its new place as soon
 /// as it speaks there.
@@ -73,13 +73,13 @@
             line = hear(&mut standing) => match line {
                 Ok(Some((line, open))) => {
                     if open.at == at && opening.take().is_some() {
-                        info!(log, "news speaks again");
+                        info!(log, "event stream speaks again");
                     }
                     take(&line, &mut open.named, &names, &ear, &log, &mut odd).await.err()
                 }
                 Ok(None) => {
                     if !wanted {
-                        warn!(log, "news silent"; "seconds" => SILENT_FOR.as_secs_f32());
+                        warn!(log, "event stream silent"; "seconds" => SILENT_FOR.as_secs_f32());
                         opening = Some(Box::pin(open(peer.clone(), Duration::ZERO)));
                     }
                     None
@@ -89,12 +89,12 @@
             opened = async { opening.as_mut().expect("wanted").await }, if wanted => {
                 match opened {
                     Ok(open) => {
-                        info!(log, "news found");
+                        info!(log, "event stream found");
                         (standing, opening, failures) = (Some(open), None, 0);
                     }
                     Err(failed) => {
                         if failures == 0 {
-                            warn!(log, "news not found"; "why" => %failed);
+                            warn!(log, "event stream not found"; "why" => %failed);
                         }
                         failures += 1;
                         opening = Some(Box::pin(open(peer.clone(), AGAIN[failures.min(AGAIN.len() - 1)])));
@@ -110,7 +110,7 @@
             }
         };
         if let Some(failed) = lost {
-            warn!(log, "news lost"; "why" => %failed);
+            warn!(log, "event stream lost"; "why" => %failed);
             standing = None;
             // Anew, whatever attempt hangs: a connection that is reset tells that its relay is back.
             (opening, failures) = (Some(Box::pin(open(peer.clone(), AGAIN[0]))), 0);
@@ -182,7 +182,7 @@
             None => *named = None,
         }
         if let Some(times) = odd.due() {
-            warn!(log, "news skipped"; "why" => fault, "times" => times);
+            warn!(log, "event skipped"; "why" => fault, "times" => times);
         }
     }
     Ok(())
@@ -208,7 +208,7 @@
                 (names.zone(f.text("locality")?)?, f.figure("w", 0.0..=MOST_RATE)?, f.mark("cold"));
             named.iter_mut().for_each(|named| _ = named.insert(proxy));
             ear.tell(move |rules, now| {
-                // One that is joined already may have gone and come while the news was away.
+                // One that is joined already may have gone and come while the event stream was away.
                 rules.host().joined(proxy, zone, rate);
                 rules.proxy_joined(now, proxy, zone, rate, fresh);
             })
--- a/supervisor/src/main.rs
+++ b/supervisor/src/main.rs
@@ -7,11 +7,11 @@
 mod desk;
 mod dials;
 mod errors;
+mod events;
 mod front;
 mod limits;
 mod list;
 mod log;
-mod news;
 mod orders;
 mod planner;
 mod tasks;
@@ -103,8 +103,8 @@
     }
     {
         let log = log.clone();
-        kept_up("news", log.clone(), move || {
-            news::follow(relay.clone(), names.clone(), ear.clone(), log.clone())
+        kept_up("event stream", log.clone(), move || {
+            events::follow(relay.clone(), names.clone(), ear.clone(), log.clone())
         });
     }
     let end = CancellationToken::new();
--- a/supervisor/tests/sockets/common.rs
+++ b/supervisor/tests/sockets/common.rs
@@ -135,7 +135,7 @@
     pub address: SocketAddr,
     calls: Arc<Mutex<Receiver<Vec<Value>>>>,
     plan: Arc<Mutex<VecDeque<Does>>>,
-    news: Arc<Mutex<(Vec<String>, Vec<TcpStream>)>>,
+    events: Arc<Mutex<(Vec<String>, Vec<TcpStream>)>>,
     reached: Arc<AtomicBool>,
     /// Answers that may be given of those held back.
     released: Arc<(Mutex<usize>, Condvar)>,
@@ -148,9 +148,9 @@
 impl Relay {
     pub fn start() -> Relay {
         let plan = Arc::new(Mutex::new(VecDeque::new()));
-        let news: Arc<Mutex<(Vec<String>, Vec<TcpStream>)>> = Arc::default();
+        let events: Arc<Mutex<(Vec<String>, Vec<TcpStream>)>> = Arc::default();
         let (told, calls): (Sender<Vec<Value>>, _) = channel();
-        let (plans, opens, silent) = (plan.clone(), news.clone(), Arc::new(Mutex::new(Vec::new())));
+        let (plans, opens, silent) = (plan.clone(), events.clone(), Arc::new(Mutex::new(Vec::new())));
         let reached = Arc::new(AtomicBool::new(true));
         let released: Arc<(Mutex<usize>, Condvar)> = Arc::default();
         let releases = released.clone();
@@ -161,11 +161,11 @@
                     silent.lock().unwrap().push(to.try_clone().unwrap());
                     return false;
                 }
-                let mut news = opens.lock().unwrap();
+                let mut events = opens.lock().unwrap();
                 let _ = write!(to, "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n");
-                news.0.iter().for_each(|line| _ = chunk(to, &format!("{line}\n")));
+                events.0.iter().for_each(|line| _ = chunk(to, &format!("{line}\n")));
                 chunk(to, "{}\n");
-                news.1.push(to.try_clone().unwrap());
+                events.1.push(to.try_clone().unwrap());
                 return false;
             }
             assert!(body.len() <= 60_000, "a call of {} bytes", body.len());
@@ -207,14 +207,14 @@
             }
             true
         });
-        let life = news.clone();
+        let life = events.clone();
         spawn(move || loop {
             std::thread::sleep(Duration::from_millis(400));
             if life_reached.load(Ordering::SeqCst) {
                 life.lock().unwrap().1.retain_mut(|to| chunk(to, "{}\n"));
             }
         });
-        Relay { address, calls: Arc::new(Mutex::new(calls)), plan, news, reached, released }
+        Relay { address, calls: Arc::new(Mutex::new(calls)), plan, events, reached, released }
     }
 
     /// Gives one answer that is held back.
@@ -223,7 +223,7 @@
         self.released.1.notify_one();
     }
 
-    /// No sign of life from now on, and no answer to who would open the news.
+    /// No sign of life from now on, and no answer to who would open the event stream.
     pub fn is_out_of_reach(&self) {
         self.reached.store(false, Ordering::SeqCst);
     }
@@ -236,24 +236,24 @@
         let line = json!({"type": "hello", "object":
             {"node": proxy, "locality": "north", "w": 20.5, "cold": true}})
         .to_string();
-        let mut news = self.news.lock().unwrap();
-        news.1.iter_mut().for_each(|to| _ = chunk(to, &format!("{line}\n")));
-        news.0.push(line);
+        let mut events = self.events.lock().unwrap();
+        events.1.iter_mut().for_each(|to| _ = chunk(to, &format!("{line}\n")));
+        events.0.push(line);
     }
 
-    /// Breaks the news off; on reopening it opens with these lines.
+    /// Breaks the event stream off; on reopening it opens with these lines.
     pub fn opens_anew_with(&self, lines: &[Value]) {
-        let mut news = self.news.lock().unwrap();
-        news.0 = lines.iter().map(Value::to_string).collect();
-        news.1.drain(..).for_each(|to| _ = to.shutdown(Shutdown::Both));
+        let mut events = self.events.lock().unwrap();
+        events.0 = lines.iter().map(Value::to_string).collect();
+        events.1.drain(..).for_each(|to| _ = to.shutdown(Shutdown::Both));
     }
 
-    /// Breaks the news off; on reopening it tells of nobody but the last who joined.
+    /// Breaks the event stream off; on reopening it tells of nobody but the last who joined.
     pub fn forgets_all_but_the_last(&self) {
-        let mut news = self.news.lock().unwrap();
-        let last = news.0.pop();
-        news.0 = last.into_iter().collect();
-        news.1.drain(..).for_each(|to| _ = to.shutdown(Shutdown::Both));
+        let mut events = self.events.lock().unwrap();
+        let last = events.0.pop();
+        events.0 = last.into_iter().collect();
+        events.1.drain(..).for_each(|to| _ = to.shutdown(Shutdown::Both));
     }
 
     /// Whether a call has come that was not looked at yet.
@@ -324,8 +324,8 @@
                     let most = Duration::from_millis(wait.unwrap_or(0));
                     let stands = |h: &mut Hosts| h.silent || h.version <= since && h.plan.is_empty();
                     hosts = changed.wait_timeout_while(hosts, most, stands).unwrap().0;
-                    let news = if hosts.version > since { hosts.changed.clone() } else { vec![] };
-                    json!({"seq": hosts.version, "whole": false, "hosts": news})
+                    let told = if hosts.version > since { hosts.changed.clone() } else { vec![] };
+                    json!({"seq": hosts.version, "whole": false, "hosts": told})
                 }
             };
             if hosts.silent {
@@ -471,7 +471,7 @@
         let address = ([127, 0, 0, 1], 0).into();
         let mut supervisor = Supervisor { child, address, log, config: file };
         supervisor.address = supervisor.logged("started")["listen"].as_str().unwrap().parse().unwrap();
-        supervisor.logged("news found");
+        supervisor.logged("event stream found");
         supervisor
     }
 
--- a/supervisor/tests/sockets/main.rs
+++ b/supervisor/tests/sockets/main.rs
@@ -149,12 +149,12 @@
 }
 
 #[test]
-fn who_is_missing_when_the_news_is_reopened_has_left() {
+fn who_is_missing_when_the_event_stream_is_reopened_has_left() {
     let (_list, relay, supervisor) = serving();
     relay.joins(8);
     relay.order("attach");
     relay.forgets_all_but_the_last();
-    supervisor.logged("news lost");
+    supervisor.logged("event stream lost");
     // Whoever is still there may have gone and come meanwhile: it is bound anew.
     assert_eq!(relay.order("attach")["node"], 8);
     until("one proxy left", || supervisor.page("/state").contains(r#""proxies":1,"#).then_some(()));
@@ -162,13 +162,13 @@
 
 /// A silence that passes costs no bind, and nobody who joined at its end is missed.
 #[test]
-fn news_that_is_silent_is_kept_until_another_speaks() {
+fn an_event_stream_that_is_silent_is_kept_until_another_speaks() {
     let (_list, relay, supervisor) = serving();
     relay.is_out_of_reach();
-    supervisor.logged("news silent");
-    supervisor.logged("news not found");
+    supervisor.logged("event stream silent");
+    supervisor.logged("event stream not found");
     relay.joins(8);
-    supervisor.logged("news speaks again");
+    supervisor.logged("event stream speaks again");
     assert_eq!(relay.order("attach")["node"], 8);
     until("both proxies", || supervisor.page("/state").contains(r#""proxies":2,"#).then_some(()));
 }
@@ -289,7 +289,7 @@
 }
 
 #[test]
-fn a_new_config_moves_list_orders_and_news_and_a_second_file_does_so_again() {
+fn a_new_config_moves_list_orders_and_event_stream_and_a_second_file_does_so_again() {
     let (_list, _relay, supervisor) = serving();
     let mut collector = supervisor.collector();
     for n in [8, 9] {
--- a/supervisor/tests/sockets/relay.rs
+++ b/supervisor/tests/sockets/relay.rs
@@ -1,4 +1,4 @@
-//! Calls to the relay whose answers are late, cut, doubled or impossible, and news that can't be read in parts.
+//! Calls to the relay whose answers are late, cut, doubled or impossible, and an event stream that can't be read in parts.
 
 use crate::common::{config, server, until, Does, List, Relay};
 use crate::{comes_again_when_the_relay, serving};
@@ -100,14 +100,14 @@
 }
 
 #[test]
-fn a_proxy_whose_line_in_reopened_news_cannot_be_read_has_not_left() {
+fn a_proxy_whose_line_in_a_reopened_event_stream_cannot_be_read_has_not_left() {
     for spoilt in [hello(8, json!("x")), json!({"type": "hello", "object": {"node": []}})] {
         let (_list, relay, supervisor) = serving();
         relay.joins(8);
         relay.order("attach");
         relay.opens_anew_with(&[hello(7, json!(20.5)), spoilt]);
-        supervisor.logged("news found");
-        supervisor.logged("news skipped");
+        supervisor.logged("event stream found");
+        supervisor.logged("event skipped");
         // Bound anew once the opening has been heard to its end.
         assert_eq!(relay.order("attach")["node"], 7);
         relay.joins(9);
