--- a/hostkit/src/checks.rs
+++ b/hostkit/src/checks.rs
@@ -1,4 +1,4 @@
-//! Checks on orders before they go out, so that a slip in the rules costs an order and not the whole call.
+//! Checks on commands before they go out, so that a slip in the rules costs a command and not the whole call.
 
 use otterwinch::charter::Charter;
 use otterwinch::host::Id;
--- a/replay/src/control.rs
+++ b/replay/src/control.rs
@@ -1,4 +1,4 @@
-//! A supervisor in a play: the real rules, the plane that their orders go through, and the sums that they hear.
+//! A supervisor in a play: the real rules, the plane that their commands go through, and the sums that they hear.
 
 use crate::queue::Time;
 use crate::table::{Level, Table, Version};
@@ -21,14 +21,14 @@
 /// What the rules order in a moment, and the wake-ups that they ask for.
 #[derive(Default)]
 pub struct Desk {
-    pub orders: Vec<Order>,
+    pub commands: Vec<Command>,
     pub wakes: Vec<(Span, u64)>,
     places: Rc<FxHashMap<Id, u32>>,
 }
 
-/// An order, its node by its place.
+/// A command, its node by its place.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Order {
+pub enum Command {
     Line { tbl: u32, node: u32, weight: f64 },
     Bind { forwarder: u32, tbl: u32 },
     Withdraw { node: u32, out: bool },
@@ -45,23 +45,23 @@
 impl Host for Desk {
     fn line(&mut self, tbl: u32, server: &Id, weight: f64) {
         if let Some(node) = self.places.get(server).copied() {
-            self.orders.push(Order::Line { tbl, node, weight });
+            self.commands.push(Command::Line { tbl, node, weight });
         }
     }
     fn bind(&mut self, proxy: u32, tbl: u32) {
-        self.orders.push(Order::Bind { forwarder: proxy, tbl });
+        self.commands.push(Command::Bind { forwarder: proxy, tbl });
     }
     fn withdraw(&mut self, server: &Id, out: bool) {
         if let Some(node) = self.places.get(server).copied() {
-            self.orders.push(Order::Withdraw { node, out });
+            self.commands.push(Command::Withdraw { node, out });
         }
     }
     fn forget(&mut self, _server: &Id) {}
     fn level(&mut self, tbl: u32, products: Products, admitted: f64, retry: Retry) {
-        self.orders.push(Order::Level { tbl, products, share: admitted, retry });
+        self.commands.push(Command::Level { tbl, products, share: admitted, retry });
     }
     fn mark(&mut self, number: u32) {
-        self.orders.push(Order::Mark(number));
+        self.commands.push(Command::Mark(number));
     }
     // Calls to the relay are not lost in these plays, and the list follows without being asked.
     fn repeat(&mut self) {}
@@ -97,7 +97,7 @@
     pub rules: Rules<Desk>,
     pub plane: Plane,
     pub sums: Sums,
-    /// Orders of this instant wait to be gathered.
+    /// Commands of this instant wait to be gathered.
     pub gathers: bool,
 }
 
@@ -160,17 +160,17 @@
         self.bound.remove(&forwarder);
     }
 
-    /// Takes a moment's orders into the tables as they stand here, and counts the lines that each forwarder will be
+    /// Takes a moment's commands into the tables as they stand here, and counts the lines that each forwarder will be
     /// sent. `standing` tells whether an unbound forwarder's own table has a node.
-    pub fn take(&mut self, orders: Vec<Order>, standing: impl Fn(u32, u32) -> bool) -> Gathered {
+    pub fn take(&mut self, commands: Vec<Command>, standing: impl Fn(u32, u32) -> bool) -> Gathered {
         let mut lines: BTreeMap<u32, f64> = BTreeMap::new();
         let mut marks = Vec::new();
         let users = |bound: &BTreeMap<u32, u32>, tbl: u32| -> Vec<u32> {
             bound.iter().filter(|(_, t)| **t == tbl).map(|(f, _)| *f).collect()
         };
-        for order in orders {
-            match order {
-                Order::Line { tbl, node, weight } => {
+        for command in commands {
+            match command {
+                Command::Line { tbl, node, weight } => {
                     let table = self.table(tbl);
                     if weight > 0.0 {
                         table.lines.insert(node, weight);
@@ -180,7 +180,7 @@
                     table.changed();
                     users(&self.bound, tbl).into_iter().for_each(|f| *lines.entry(f).or_default() += 1.0);
                 }
-                Order::Bind { forwarder, tbl } => {
+                Command::Bind { forwarder, tbl } => {
                     if !self.joined.contains(&forwarder) {
                         continue;
                     }
@@ -191,7 +191,7 @@
                     *lines.entry(forwarder).or_default() += (1 + held + barred) as f64;
                     self.bound.insert(forwarder, tbl);
                 }
-                Order::Withdraw { node, out } => {
+                Command::Withdraw { node, out } => {
                     if out {
                         self.barred.insert(node);
                     } else {
@@ -208,7 +208,7 @@
                         }
                     }
                 }
-                Order::Level { tbl, products, share, retry } => {
+                Command::Level { tbl, products, share, retry } => {
                     let count = self.products;
                     let table = self.table(tbl);
                     let of = (0..count).filter(|k| products == 0 || products >> k & 1 == 1);
@@ -216,7 +216,7 @@
                     table.changed();
                     users(&self.bound, tbl).into_iter().for_each(|f| *lines.entry(f).or_default() += 1.0);
                 }
-                Order::Mark(number) => marks.push(number),
+                Command::Mark(number) => marks.push(number),
             }
         }
         lines.values_mut().for_each(|lines| *lines += marks.len() as f64);
--- a/replay/src/queue.rs
+++ b/replay/src/queue.rs
@@ -12,7 +12,7 @@
 pub enum Class {
     World = 0,
     Word = 1,
-    Orders = 2,
+    Commands = 2,
 }
 
 #[derive(Clone, Copy, Debug)]
--- a/replay/src/queue/tests.rs
+++ b/replay/src/queue/tests.rs
@@ -3,7 +3,7 @@
 #[test]
 fn events_of_one_instant_come_by_class_and_then_in_the_order_of_asking() {
     let mut queue = Queue::default();
-    queue.push(5, Class::Orders, 'd');
+    queue.push(5, Class::Commands, 'd');
     queue.push(5, Class::World, 'a');
     queue.push(5, Class::Word, 'c');
     queue.push(5, Class::World, 'b');
--- a/replay/src/word.rs
+++ b/replay/src/word.rs
@@ -1,4 +1,4 @@
-//! What supervisors hear, and what becomes of their orders: sums late, the list later, messages one after the other.
+//! What supervisors hear, and what becomes of their commands: sums late, the list later, messages one after the other.
 
 use crate::control::{moment, Sums, Supervisor};
 use crate::engine::*;
@@ -16,16 +16,16 @@
         self.asks(number);
     }
 
-    /// Takes up a supervisor's wake-ups; its orders of this instant are gathered at the instant's end.
+    /// Takes up a supervisor's wake-ups; its commands of this instant are gathered at the instant's end.
     pub(crate) fn asks(&mut self, number: u32) {
         let supervisor = &mut self.supervisors[number as usize];
         for (after, label) in std::mem::take(&mut supervisor.rules.host().wakes) {
             let at = self.now + us(after).max(1);
             self.queue.push(at, Class::Word, Event::Wake { supervisor: number, label });
         }
-        if !supervisor.gathers && !supervisor.rules.host().orders.is_empty() {
+        if !supervisor.gathers && !supervisor.rules.host().commands.is_empty() {
             supervisor.gathers = true;
-            self.queue.push(self.now, Class::Orders, Event::Gather(number));
+            self.queue.push(self.now, Class::Commands, Event::Gather(number));
         }
     }
 
@@ -106,15 +106,15 @@
         }
     }
 
-    /// A moment's orders become one message for each forwarder that they reach, and these leave one after the other.
+    /// A moment's commands become one message for each forwarder that they reach, and these leave one after the other.
     pub(crate) fn gathers(&mut self, number: u32) {
         let Engine { supervisors, forwarders, .. } = self;
         let supervisor = &mut supervisors[number as usize];
         supervisor.gathers = false;
-        let orders = std::mem::take(&mut supervisor.rules.host().orders);
+        let commands = std::mem::take(&mut supervisor.rules.host().commands);
         let standing = |f: u32, node: u32| forwarders[f as usize].standing.contains(&node);
         let plane = &mut supervisor.plane;
-        let gathered = plane.take(orders, standing);
+        let gathered = plane.take(commands, standing);
         let barred = Rc::new(plane.barred.clone());
         for (forwarder, lines) in gathered.lines {
             let left = plane.channel.put(self.now, lines);
--- a/src/host.rs
+++ b/src/host.rs
@@ -1,4 +1,4 @@
-//! The small interface through which the rules act, whatever protocol carries their orders.
+//! The small interface through which the rules act, whatever protocol carries their commands.
 
 use crate::time::{Moment, Span};
 use std::rc::Rc;
@@ -38,7 +38,7 @@
     Twice,
 }
 
-/// Orders take effect in the order of the calls; those of one moment travel together.
+/// Commands take effect in the order of the calls; those of one moment travel together.
 pub trait Host {
     /// Sets one line of a table; weight 0 takes it out.
     fn line(&mut self, tbl: u32, server: &Id, weight: f64);
@@ -46,13 +46,13 @@
     fn bind(&mut self, proxy: u32, tbl: u32);
     /// Bars all joined proxies from a server, whatever tables they hold, or lets them back.
     fn withdraw(&mut self, server: &Id, out: bool);
-    /// A server has long been gone: no order names it any more unless the list does so anew.
+    /// A server has long been gone: no command names it any more unless the list does so anew.
     fn forget(&mut self, server: &Id);
     /// What part of some products a table lets in, and when its proxies try again.
     fn level(&mut self, tbl: u32, products: Products, admitted: f64, retry: Retry);
-    /// Asks each proxy that this moment's orders reach to tell when they have come.
+    /// Asks each proxy that this moment's commands reach to tell when they have come.
     fn mark(&mut self, number: u32);
-    /// Sends once more what `Rules::orders_lost` was told of.
+    /// Sends once more what `Rules::commands_lost` was told of.
     fn repeat(&mut self);
     /// Subscribes to the list.
     fn follow_list(&mut self);
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,10 +1,10 @@
 //! All decisions of a supervisor, its tables and its tuned values. The host calls one method for each thing
 //! that happens (`list_changed`, `met`, `woke` ...) with the present moment; the rules act at once through
-//! the `Host` (`host.rs`) given to `open`, and read `charter.rs`. A moment's orders travel together.
+//! the `Host` (`host.rs`) given to `open`, and read `charter.rs`. A moment's commands travel together.
 //!
 //! The ordinary path is that of docs/design.md: few shared tables of the listed servers at listed weight,
 //! looked at every `turn`, only changes sent. The guards: rule 1 `wanted`, `bind_waiting`, rule 2 `RETRY`,
-//! `publish_slices`, `orders_lost`, rule 3 `leaving` in `publish`, rule 4 `warmth`, `eased`, rule 5 `room`.
+//! `publish_slices`, `commands_lost`, rule 3 `leaving` in `publish`, rule 4 `warmth`, `eased`, rule 5 `room`.
 
 use crate::chance::Chance;
 use crate::charter::{Admission, Charter};
@@ -47,7 +47,7 @@
 const STAY: f64 = 0.9;
 const FAR_STEP: f64 = 1.5;
 
-/// Rule 2: proxies repeat nothing on our orders, so no product's window or group can be missed, and a zone
+/// Rule 2: proxies repeat nothing on our commands, so no product's window or group can be missed, and a zone
 /// that has just become full does not drown in what its servers turned away.
 const RETRY: Retry = Retry::Never;
 
@@ -407,9 +407,9 @@
         carried.then(|| self.look()).is_some()
     }
 
-    /// A moment's orders came to nothing, or nobody knows. They go again as they were, and nothing before
+    /// A moment's commands came to nothing, or nobody knows. They go again as they were, and nothing before
     /// they are taken: what piled up behind them would come in one burst.
-    pub fn orders_lost(&mut self, now: Moment, unsure: bool) {
+    pub fn commands_lost(&mut self, now: Moment, unsure: bool) {
         self.held.unanswered = true;
         // Rule 5: were they carried out, their lines wait twice; a mark of the repeat's tells when it came.
         let (lines, number) = if unsure { self.ledger.again(now, self.held.moment) } else { (0.0, None) };
@@ -420,7 +420,7 @@
         self.host.wake(LOOK_AGAIN + Span::secs(lines / self.charter.channel_rate.max(1.0)), REPEAT);
     }
 
-    pub fn orders_taken(&mut self, now: Moment) {
+    pub fn commands_taken(&mut self, now: Moment) {
         if std::mem::take(&mut self.held.unanswered) {
             self.turn(now);
         }
@@ -438,7 +438,7 @@
 
     /// All that a moment orders. Where the queue is no longer short, the proxies are asked to tell what came.
     fn turn(&mut self, now: Moment) {
-        // The grace of strays runs on while no order gets out.
+        // The grace of strays runs on while no command gets out.
         let untold = self.held.unanswered && self.servers.values().any(|s| !s.ready() && !s.told);
         if untold && self.proxies.values().any(|p| !p.bound) {
             self.held.barring.get_or_insert(now);
@@ -604,7 +604,7 @@
     }
 
     fn send(&mut self, now: Moment, number: u32, changes: Vec<Change>, all: bool, users: &[u32]) {
-        let (mut orders, mut back) = (0, 0);
+        let (mut commands, mut back) = (0, 0);
         let Some(tbl) = self.tbls.get_mut(&number) else { return };
         for Change { id, weight, .. } in changes {
             // One that returns is let back in with its first line, not before: until then it may be cold.
@@ -614,20 +614,20 @@
                 back += 1;
             }
             self.host.line(number, &id, weight);
-            orders += 1;
+            commands += 1;
             tbl.lines.insert(id, weight);
         }
         tbl.lines.retain(|_, weight| *weight > 0.0);
         for (k, level) in self.levels.iter().copied().enumerate().filter(|_| all) {
             if tbl.levels.insert(k, level) != Some(level) {
                 self.host.level(number, 1 << k, level, RETRY);
-                orders += 1;
+                commands += 1;
             }
         }
-        if orders > 0 {
+        if commands > 0 {
             tbl.sent = now;
             for proxy in users {
-                self.ledger.note(now, *proxy, f64::from(orders), self.charter.message_head);
+                self.ledger.note(now, *proxy, f64::from(commands), self.charter.message_head);
             }
             self.tell_strays(now, back);
         }
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -592,20 +592,20 @@
 }
 
 #[test]
-fn orders_that_were_lost_go_again_and_nothing_overtakes_them() {
+fn commands_that_were_lost_go_again_and_nothing_overtakes_them() {
     let mut rules = running(charter(), &["a", "b"], 1);
-    rules.orders_lost(at(2.0), false);
+    rules.commands_lost(at(2.0), false);
     rules.list_changed(at(2.0), &[listing("a", 0, Draining, None)]);
     rules.woke(at(2.1), REPEAT);
     assert_eq!(rules.host.said, ["wake 5 50000", "repeat"]);
 }
 
 #[test]
-fn what_was_held_behind_lost_orders_goes_once_they_are_taken() {
+fn what_was_held_behind_lost_commands_goes_once_they_are_taken() {
     let mut rules = running(charter(), &["a", "b"], 1);
-    rules.orders_lost(at(2.0), false);
+    rules.commands_lost(at(2.0), false);
     rules.list_changed(at(2.0), &[listing("a", 0, Draining, None)]);
-    rules.orders_taken(at(2.1));
+    rules.commands_taken(at(2.1));
     assert_eq!(rules.host.said[1..], ["line 0 a 0", "withdraw a true"]);
 }
 
@@ -613,10 +613,10 @@
 fn strays_wait_for_bars_from_when_a_server_leaves_although_no_order_gets_out() {
     let mut rules = crowded(3.0, 20);
     rules.ledger = Ledger::default();
-    rules.orders_lost(at(2.0), false);
+    rules.commands_lost(at(2.0), false);
     rules.proxies.values_mut().for_each(|p| (p.bound, p.reached) = (false, false));
     rules.list_changed(at(2.1), &[listing("12", 0, Draining, None)]);
-    rules.orders_taken(at(4.0));
+    rules.commands_taken(at(4.0));
     assert_eq!(rules.host.count("withdraw 12 true"), 1);
 }
 
@@ -632,26 +632,26 @@
 }
 
 #[test]
-fn orders_that_may_have_been_carried_out_count_twice() {
+fn commands_that_may_have_been_carried_out_count_twice() {
     let mut rules = running(charter(), &["a", "b"], 1);
     let waiting = rules.ledger.waiting(at(0.2));
-    rules.orders_lost(at(0.2), true);
+    rules.commands_lost(at(0.2), true);
     assert!(rules.ledger.waiting(at(0.2)) >= 2.0 * waiting);
 }
 
 #[test]
-fn lost_orders_that_reach_nobody_wait_for_nobodys_lines() {
+fn lost_commands_that_reach_nobody_wait_for_nobodys_lines() {
     let mut rules = running(charter(), &["a", "b"], 1);
     let lines = rules.ledger.ordered;
     rules.turn(at(1.0));
-    rules.orders_lost(at(1.0), true);
+    rules.commands_lost(at(1.0), true);
     assert_eq!((rules.ledger.ordered, rules.host.said.last().unwrap().as_str()), (lines, "wake 5 50000"));
 }
 
 #[test]
 fn a_repeat_of_what_may_have_been_carried_out_is_marked_and_clears_the_queue_when_it_comes() {
     let mut rules = running(charter(), &["a", "b"], 1);
-    (0..50).for_each(|n| rules.orders_lost(at(1.0 + f64::from(n)), true));
+    (0..50).for_each(|n| rules.commands_lost(at(1.0 + f64::from(n)), true));
     rules.applied(at(51.0), 50, 0);
     assert_eq!((rules.host.count("mark"), rules.ledger.waiting(at(51.0))), (50, 0.0));
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -152,7 +152,7 @@
     }
 }
 
-/// What holds orders back.
+/// What holds commands back.
 #[derive(Default)]
 pub struct Held {
     /// When what can wait may go next.
@@ -163,8 +163,8 @@
     pub list_failed: Option<Moment>,
     /// Wake-ups under way, by label.
     pub wakes: BTreeSet<u64>,
-    /// When orders went out last.
+    /// When commands went out last.
     pub moment: Moment,
-    /// The orders of a moment came to nothing, or nobody knows, and go again.
+    /// The commands of a moment came to nothing, or nobody knows, and go again.
     pub unanswered: bool,
 }
--- a/standin/src/inside.rs
+++ b/standin/src/inside.rs
@@ -64,9 +64,9 @@
             asked_for += 1;
             wakes.push(Reverse((Instant::now() + us(after), asked_for, label)));
         }
-        let orders = std::mem::take(&mut rules.host().orders);
-        if !orders.is_empty() {
-            between.take(orders);
+        let commands = std::mem::take(&mut rules.host().commands);
+        if !commands.is_empty() {
+            between.take(commands);
         }
         let wake = wakes.peek().map_or(next_report, |wake| wake.0 .0);
         let heard = reports.front().map_or(next_report, |report: &(Instant, _)| report.0);
--- a/standin/src/plane.rs
+++ b/standin/src/plane.rs
@@ -1,10 +1,10 @@
-//! What stands between a supervisor and its forwarders here: takes a moment's orders, sends them as messages through a
+//! What stands between a supervisor and its forwarders here: takes a moment's commands, sends them as messages through a
 //! channel of a stated pace, and tells who has applied a mark. The stand-in relay and the supervisor in this process both
 //! use it.
 
 use crate::forwarder::Forwarder;
 use otterwinch_fleet::model::Supervisors;
-use otterwinch_replay::control::{Order, Plane};
+use otterwinch_replay::control::{Command, Plane};
 use otterwinch_replay::table::Version;
 use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex};
@@ -73,12 +73,12 @@
         self.plane.lock().expect("no holder panics").0.joined.contains(&forwarder)
     }
 
-    /// Takes a moment's orders.
-    pub fn take(&self, orders: Vec<Order>) {
+    /// Takes a moment's commands.
+    pub fn take(&self, commands: Vec<Command>) {
         let now = Instant::now();
         let now_us = (now - self.began).as_micros() as u64;
         let (plane, streams) = &mut *self.plane.lock().expect("no holder panics");
-        let gathered = plane.take(orders, |f, node| self.forwarders[f as usize].standing.contains(&node));
+        let gathered = plane.take(commands, |f, node| self.forwarders[f as usize].standing.contains(&node));
         let barred = Arc::new(plane.barred.clone());
         for (forwarder, lines) in gathered.lines {
             let left = plane.channel.put(now_us, lines);
--- a/standin/src/relay.rs
+++ b/standin/src/relay.rs
@@ -1,4 +1,4 @@
-//! The stand-in relay, by its protocol: takes orders, tells the events.
+//! The stand-in relay, by its protocol: takes commands, tells the events.
 
 use crate::net::{Listener, Net};
 use crate::plane::{Applied, Between};
@@ -10,7 +10,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use otterwinch::host::Retry;
-use otterwinch_replay::control::Order;
+use otterwinch_replay::control::Command;
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
@@ -143,32 +143,32 @@
     Response::new(BodyExt::boxed(StreamBody::new(frames)))
 }
 
-/// Takes a call's orders up to the first that can't be used.
+/// Takes a call's commands up to the first that can't be used.
 async fn call(message: Request<Incoming>, shared: &Shared) -> Response<Body> {
     let invalid = || whole(StatusCode::BAD_REQUEST, json!({"error": "invalid"}));
     let Ok(body) = Limited::new(message.into_body(), MOST_BYTES).collect().await else { return invalid() };
     let Ok(value) = serde_json::from_slice::<Value>(&body.to_bytes()) else { return invalid() };
     let Some(changes) = value["changes"].as_array() else { return invalid() };
-    let orders: Vec<Vec<Order>> = changes.iter().map_while(|change| order(change, shared)).collect();
-    let taken = orders.len();
-    shared.between.take(orders.into_iter().flatten().collect());
+    let commands: Vec<Vec<Command>> = changes.iter().map_while(|change| command(change, shared)).collect();
+    let taken = commands.len();
+    shared.between.take(commands.into_iter().flatten().collect());
     whole(StatusCode::OK, json!({"taken": taken}))
 }
 
-/// One order, in the plane's terms; nothing where it can't be used.
-fn order(change: &Value, shared: &Shared) -> Option<Vec<Order>> {
+/// One command, in the plane's terms; nothing where it can't be used.
+fn command(change: &Value, shared: &Shared) -> Option<Vec<Command>> {
     let number = |name: &str| change[name].as_u64().and_then(|n| u32::try_from(n).ok());
     let figure = |name: &str| change[name].as_f64().filter(|n| *n >= 0.0);
     let node = || shared.names.nodes.get(change["endpoint"].as_str()?).copied();
     let all = (1u64 << shared.names.products.len()) - 1;
     Some(vec![match change["op"].as_str()? {
-        "put" => Order::Line { tbl: number("table")?, node: node()?, weight: figure("w")? },
+        "put" => Command::Line { tbl: number("table")?, node: node()?, weight: figure("w")? },
         "attach" => {
             let forwarder = number("node").filter(|n| shared.between.has(*n))?;
-            Order::Bind { forwarder, tbl: number("table")? }
+            Command::Bind { forwarder, tbl: number("table")? }
         }
-        "eject" => Order::Withdraw { node: node()?, out: true },
-        "uneject" => Order::Withdraw { node: node()?, out: false },
+        "eject" => Command::Withdraw { node: node()?, out: true },
+        "uneject" => Command::Withdraw { node: node()?, out: false },
         "gate" => {
             let named = change["routes"].as_array().map(|names| {
                 let place = |name: &Value| shared.names.products.iter().position(|p| name == p.as_str());
@@ -182,9 +182,9 @@
                 _ => return None,
             };
             let (tbl, share) = (number("table")?, figure("admit")?);
-            Order::Level { tbl, products: named.unwrap_or(all), share, retry }
+            Command::Level { tbl, products: named.unwrap_or(all), share, retry }
         }
-        "fence" => Order::Mark(number("nonce_out")?),
+        "fence" => Command::Mark(number("nonce_out")?),
         _ => return None,
     }])
 }
--- a/supervisor/src/orders.rs
+++ b/supervisor/src/commands.rs
@@ -1,8 +1,8 @@
-//! The relay's orders: one call at a time, in the order they were given. What became of a call is told to
+//! The relay's commands: one call at a time, in the order they were given. What became of a call is told to
 //! the rules, and they say whether and when it goes again.
 
 use crate::client::Peer;
-use crate::desk::{About, Order};
+use crate::desk::{About, Command};
 use crate::errors::{Came, Failed};
 use hyper::body::Bytes;
 use hyper::{Method, StatusCode};
@@ -21,28 +21,28 @@
 pub enum Fate {
     Taken,
     /// All before this one were taken, it can't be used, and the rest is still in hand.
-    Declined(Order),
+    Declined(Command),
     Lost(Failed),
 }
 
-pub struct Orders {
+pub struct Commands {
     relay: watch::Receiver<SocketAddr>,
     peer: Peer,
-    pub in_hand: VecDeque<Order>,
+    pub in_hand: VecDeque<Command>,
     pub calls: u64,
 }
 
-impl Orders {
+impl Commands {
     pub fn to(mut relay: watch::Receiver<SocketAddr>) -> Self {
         let peer = Peer::at(*relay.borrow_and_update());
-        Orders { relay, peer, in_hand: VecDeque::new(), calls: 0 }
+        Commands { relay, peer, in_hand: VecDeque::new(), calls: 0 }
     }
 
-    /// Puts orders behind those in hand. A mark among them stands for the marks of the call that was lost, so
+    /// Puts commands behind those in hand. A mark among them stands for the marks of the call that was lost, so
     /// that its answer tells which of the two came.
-    pub fn take(&mut self, fresh: VecDeque<Order>) {
-        if fresh.iter().any(|order| matches!(order.about, About::Mark)) {
-            self.in_hand.retain(|order| !matches!(order.about, About::Mark));
+    pub fn take(&mut self, fresh: VecDeque<Command>) {
+        if fresh.iter().any(|command| matches!(command.about, About::Mark)) {
+            self.in_hand.retain(|command| !matches!(command.about, About::Mark));
         }
         self.in_hand.extend(fresh);
     }
@@ -96,23 +96,23 @@
     }
 }
 
-/// As many orders as one call holds, their number, and that of the marks put behind them.
+/// As many commands as one call holds, their number, and that of the marks put behind them.
 ///
 /// Each call is a message of its own at the relay: whoever is reached by two of them is sent two heads, and only
-/// a call's own mark asks whom it reaches. So orders that reach the same proxies stay in one call where they
-/// fit, and the mark that ends a moment's orders ends each of their calls: else what it counts as one message
+/// a call's own mark asks whom it reaches. So commands that reach the same proxies stay in one call where they
+/// fit, and the mark that ends a moment's commands ends each of their calls: else what it counts as one message
 /// is two, and of all calls but the last nobody ever tells that they came.
-fn body(orders: &VecDeque<Order>) -> (String, usize, usize) {
-    let mark = orders.back().filter(|order| matches!(order.about, About::Mark));
+fn body(commands: &VecDeque<Command>) -> (String, usize, usize) {
+    let mark = commands.back().filter(|command| matches!(command.about, About::Mark));
     let most = MOST_BYTES - mark.map_or(0, |mark| mark.text.len() + 1);
     let mut text = String::from(r#"{"changes":["#);
-    // Where the last group of orders that reach the same proxies began.
+    // Where the last group of commands that reach the same proxies began.
     let (mut count, mut group) = (0, (0, text.len()));
-    for order in orders {
-        if count > 0 && !together(&orders[count - 1].about, &order.about) {
+    for command in commands {
+        if count > 0 && !together(&commands[count - 1].about, &command.about) {
             group = (count, text.len());
         }
-        if count > 0 && text.len() + order.text.len() + 3 > most {
+        if count > 0 && text.len() + command.text.len() + 3 > most {
             if group.0 > 0 {
                 count = group.0;
                 text.truncate(group.1);
@@ -122,10 +122,10 @@
         if count > 0 {
             text.push(',');
         }
-        text.push_str(&order.text);
+        text.push_str(&command.text);
         count += 1;
     }
-    let cut = mark.filter(|_| count < orders.len());
+    let cut = mark.filter(|_| count < commands.len());
     if let Some(mark) = cut {
         text.push(',');
         text.push_str(&mark.text);
@@ -134,7 +134,7 @@
     (text, count, usize::from(cut.is_some()))
 }
 
-/// Whether two orders, one right after the other, reach the same proxies.
+/// Whether two commands, one right after the other, reach the same proxies.
 fn together(one: &About, next: &About) -> bool {
     match (one, next) {
         (About::Line(a, _) | About::Level(a), About::Line(b, _) | About::Level(b)) => a == b,
--- a/supervisor/src/orders/tests.rs
+++ b/supervisor/src/commands/tests.rs
@@ -1,11 +1,11 @@
 use super::*;
 
-fn order(about: About) -> Order {
-    Order { text: format!("\"{}\"", "x".repeat(20_000)), about }
+fn command(about: About) -> Command {
+    Command { text: format!("\"{}\"", "x".repeat(20_000)), about }
 }
 
-fn cut(orders: impl IntoIterator<Item = About>) -> (usize, usize) {
-    let (text, count, marks) = body(&orders.into_iter().map(order).collect());
+fn cut(commands: impl IntoIterator<Item = About>) -> (usize, usize) {
+    let (text, count, marks) = body(&commands.into_iter().map(command).collect());
     assert!(text.len() <= MOST_BYTES);
     let sent: Value = serde_json::from_str(&text).unwrap();
     assert_eq!(sent["changes"].as_array().unwrap().len(), count + marks);
@@ -13,7 +13,7 @@
 }
 
 #[test]
-fn a_call_that_would_be_too_long_is_cut_between_orders() {
+fn a_call_that_would_be_too_long_is_cut_between_commands() {
     assert_eq!(cut((0..4).map(About::Bind)), (2, 0));
 }
 
--- a/supervisor/src/config.rs
+++ b/supervisor/src/config.rs
@@ -44,7 +44,7 @@
 /// Connections at our address, whatever the config allows.
 const MOST_CONNECTIONS: u64 = 512;
 const MOST_LIST_BYTES: u64 = 4 << 20;
-/// Orders name products by the bits of a word.
+/// Commands name products by the bits of a word.
 const MOST_PRODUCTS: usize = Products::BITS as usize;
 /// Proxy numbers of a config that does not say how many there are.
 const MOST_PROXIES: u32 = 65_536;
--- a/supervisor/src/desk.rs
+++ b/supervisor/src/desk.rs
@@ -12,8 +12,8 @@
 use std::rc::Rc;
 use tokio::sync::Notify;
 
-/// One order in the relay's form, and what the rules have to know if it can't be used.
-pub struct Order {
+/// One command in the relay's form, and what the rules have to know if it can't be used.
+pub struct Command {
     pub text: String,
     pub about: About,
 }
@@ -31,7 +31,7 @@
     names: Rc<Names>,
     log: Logger,
     pub follow: Rc<Notify>,
-    pub orders: VecDeque<Order>,
+    pub commands: VecDeque<Command>,
     pub ordered: u64,
     pub again: bool,
     /// The present moment, from which wake-ups count.
@@ -40,7 +40,7 @@
     woken: u64,
     /// Whatever was listed and is not forgotten, as it was listed last.
     listed: BTreeMap<Id, Listing>,
-    /// Servers that joined proxies are barred from by our order.
+    /// Servers that joined proxies are barred from by our command.
     withdrawn: BTreeSet<Id>,
     /// Zone and usual rate of each proxy that is joined.
     pub joined: BTreeMap<u32, (u32, f64)>,
@@ -53,7 +53,7 @@
             names,
             log,
             follow: Rc::new(Notify::new()),
-            orders: VecDeque::new(),
+            commands: VecDeque::new(),
             ordered: 0,
             again: false,
             now,
@@ -108,7 +108,7 @@
 
     /// For rules opened anew: what stands outside stays, what the old ones wanted is dropped.
     pub fn cleared(&mut self) {
-        self.orders.clear();
+        self.commands.clear();
         self.wakes.clear();
         self.again = false;
     }
@@ -123,12 +123,12 @@
         self.wakes.pop().map(|wake| wake.0 .2)
     }
 
-    fn say(&mut self, checked: Result<(), String>, order: Value, about: About) {
+    fn say(&mut self, checked: Result<(), String>, command: Value, about: About) {
         if let Err(fault) = checked {
-            return warn!(self.log, "order against the relay's rules"; "why" => fault);
+            return warn!(self.log, "command against the relay's rules"; "why" => fault);
         }
         self.ordered += 1;
-        self.orders.push_back(Order { text: order.to_string(), about });
+        self.commands.push_back(Command { text: command.to_string(), about });
     }
 
     fn routes(&self, products: Products) -> Vec<&str> {
@@ -139,13 +139,13 @@
 
 impl Host for Desk {
     fn line(&mut self, tbl: u32, server: &Id, weight: f64) {
-        let order = json!({"op": "put", "table": tbl, "endpoint": &**server, "w": weight});
-        self.say(self.checks.line(tbl, server, weight), order, About::Line(tbl, server.clone()));
+        let command = json!({"op": "put", "table": tbl, "endpoint": &**server, "w": weight});
+        self.say(self.checks.line(tbl, server, weight), command, About::Line(tbl, server.clone()));
     }
 
     fn bind(&mut self, proxy: u32, tbl: u32) {
-        let order = json!({"op": "attach", "node": proxy, "table": tbl});
-        self.say(self.checks.bind(proxy, tbl), order, About::Bind(proxy));
+        let command = json!({"op": "attach", "node": proxy, "table": tbl});
+        self.say(self.checks.bind(proxy, tbl), command, About::Bind(proxy));
     }
 
     fn withdraw(&mut self, server: &Id, out: bool) {
@@ -154,8 +154,8 @@
         } else {
             self.withdrawn.remove(server);
         }
-        let order = json!({"op": if out { "eject" } else { "uneject" }, "endpoint": &**server});
-        self.say(self.checks.withdrawal(server), order, About::Withdrawal);
+        let command = json!({"op": if out { "eject" } else { "uneject" }, "endpoint": &**server});
+        self.say(self.checks.withdrawal(server), command, About::Withdrawal);
     }
 
     fn forget(&mut self, server: &Id) {
@@ -166,9 +166,9 @@
 
     fn level(&mut self, tbl: u32, products: Products, admitted: f64, retry: Retry) {
         let (routes, policy) = (self.routes(products), retry as u8);
-        let order =
+        let command =
             json!({"op": "gate", "table": tbl, "routes": routes, "admit": admitted, "policy": policy});
-        self.say(self.checks.level(tbl, admitted), order, About::Level(tbl));
+        self.say(self.checks.level(tbl, admitted), command, About::Level(tbl));
     }
 
     fn mark(&mut self, number: u32) {
--- a/supervisor/src/main.rs
+++ b/supervisor/src/main.rs
@@ -3,6 +3,7 @@
 mod cli;
 mod client;
 mod collectors;
+mod commands;
 mod config;
 mod desk;
 mod dials;
@@ -12,7 +13,6 @@
 mod limits;
 mod list;
 mod log;
-mod orders;
 mod planner;
 mod tasks;
 
@@ -85,8 +85,8 @@
     let config = Rc::new(config);
     let (list_moves, list) = watch::channel(config.list);
     let (relay_moves, relay) = watch::channel(config.relay);
-    let orders = orders::Orders::to(relay.clone());
-    let (mut planner, ear, page) = Planner::open(config.clone(), orders, log.clone());
+    let commands = commands::Commands::to(relay.clone());
+    let (mut planner, ear, page) = Planner::open(config.clone(), commands, log.clone());
     let follow = planner.follow();
     let listener = TcpListener::bind(config.listen).await?;
     info!(log, "started"; "version" => env!("CARGO_PKG_VERSION"), "listen" => %listener.local_addr()?);
--- a/supervisor/src/planner.rs
+++ b/supervisor/src/planner.rs
@@ -1,10 +1,10 @@
 //! The task that owns the rules and the clock. One round, top to bottom: wait for something, drain all that
 //! is ready, tell it to the rules with one moment, send what they ordered as one call, tell them its fate.
 
+use crate::commands::{Commands, Fate};
 use crate::config::Config;
 use crate::desk::{About, Desk};
 use crate::errors::Came;
-use crate::orders::{Fate, Orders};
 use otterwinch::rules::Rules;
 use otterwinch::time::{Moment, Span};
 use otterwinch_hostkit::{caught, Checks};
@@ -77,7 +77,7 @@
     rules: Rules<Desk>,
     config: Rc<Config>,
     clock: Clock,
-    orders: Orders,
+    commands: Commands,
     /// A call came to nothing: what is in hand goes again when the rules say so, and nothing before it.
     lost: bool,
     /// The relay said of the last call that it is none.
@@ -93,7 +93,7 @@
 }
 
 impl Planner {
-    pub fn open(config: Rc<Config>, orders: Orders, log: Logger) -> (Self, Ear, watch::Receiver<String>) {
+    pub fn open(config: Rc<Config>, commands: Commands, log: Logger) -> (Self, Ear, watch::Receiver<String>) {
         let clock = Clock::start();
         let now = clock.now();
         let desk = Desk::new(Checks::new(&config.charter), config.names.clone(), now, log.clone());
@@ -109,7 +109,7 @@
             rules,
             config,
             clock,
-            orders,
+            commands,
             lost,
             unfit: false,
             told,
@@ -177,12 +177,12 @@
             if self.lost && !again {
                 return;
             }
-            let fresh = std::mem::take(&mut self.rules.host().orders);
-            self.orders.take(fresh);
-            if self.orders.in_hand.is_empty() && !self.lost {
+            let fresh = std::mem::take(&mut self.rules.host().commands);
+            self.commands.take(fresh);
+            if self.commands.in_hand.is_empty() && !self.lost {
                 return;
             }
-            let fate = self.orders.deliver().await;
+            let fate = self.commands.deliver().await;
             let now = self.clock.now();
             self.rules.host().now = now;
             let unfit = matches!(&fate, Fate::Lost(failed) if failed.came == Came::Unfit);
@@ -190,13 +190,13 @@
             match fate {
                 Fate::Taken => {
                     if std::mem::take(&mut self.lost) {
-                        info!(self.log, "relay takes orders again");
+                        info!(self.log, "relay takes commands again");
                     }
-                    self.guarded(now, Box::new(|rules, now| rules.orders_taken(now)));
+                    self.guarded(now, Box::new(|rules, now| rules.commands_taken(now)));
                 }
-                Fate::Declined(order) => {
-                    warn!(self.log, "order declined by the relay"; "order" => &order.text);
-                    match order.about {
+                Fate::Declined(command) => {
+                    warn!(self.log, "command declined by the relay"; "command" => &command.text);
+                    match command.about {
                         About::Bind(proxy) => {
                             self.guarded(now, Box::new(move |rules, now| rules.bind_declined(now, proxy)));
                         }
@@ -210,18 +210,18 @@
                 // A call that the relay can't read would stop all that follows, for ever. Said once it may be
                 // the answer that is spoilt, and the call goes again as it was.
                 Fate::Lost(failed) if unfit_again => {
-                    error!(self.log, "the relay can't use our orders"; "why" => %failed);
+                    error!(self.log, "the relay can't use our commands"; "why" => %failed);
                     self.open_anew(now);
                     return;
                 }
                 Fate::Lost(failed) => {
                     self.lost_calls += 1;
                     if !std::mem::replace(&mut self.lost, true) {
-                        let orders = self.orders.in_hand.len();
-                        warn!(self.log, "orders lost"; "why" => %failed, "orders" => orders);
+                        let commands = self.commands.in_hand.len();
+                        warn!(self.log, "commands lost"; "why" => %failed, "commands" => commands);
                     }
                     let unsure = failed.unsure();
-                    self.guarded(now, Box::new(move |rules, now| rules.orders_lost(now, unsure)));
+                    self.guarded(now, Box::new(move |rules, now| rules.commands_lost(now, unsure)));
                     return;
                 }
             }
@@ -244,7 +244,7 @@
         let new = Desk::new(Checks::default(), self.config.names.clone(), now, self.log.clone());
         let mut desk = std::mem::replace(self.rules.host(), new);
         desk.cleared();
-        self.orders.in_hand.clear();
+        self.commands.in_hand.clear();
         (self.lost, self.unfit, self.opened) = (false, false, self.opened + 1);
         let (listed, gone) = desk.stands();
         let joined = desk.joined.clone();
@@ -266,7 +266,8 @@
             return;
         }
         self.paged = now;
-        let (calls, lost_calls, opened, lost) = (self.orders.calls, self.lost_calls, self.opened, self.lost);
+        let (calls, lost_calls, opened, lost) =
+            (self.commands.calls, self.lost_calls, self.opened, self.lost);
         let desk = self.rules.host();
         let (servers, proxies, ordered) = (desk.servers(), desk.joined.len(), desk.ordered);
         let [dropped, ended, turned_away, config_read, config_refused] = [
@@ -277,14 +278,14 @@
             &self.seen.config_refused,
         ]
         .map(|count| count.0.get());
-        let page = json!({"servers": servers, "proxies": proxies, "orders": ordered, "calls": calls,
+        let page = json!({"servers": servers, "proxies": proxies, "commands": ordered, "calls": calls,
             "calls_lost": lost_calls, "opened": opened, "relay_away": lost, "dropped": dropped,
             "ended": ended, "turned_away": turned_away, "config_read": config_read,
             "config_refused": config_refused});
         self.page.send_replace(page.to_string());
         if now - self.summed >= SUMMARY_EVERY {
             self.summed = now;
-            info!(self.log, "summary"; "servers" => servers, "proxies" => proxies, "orders" => ordered,
+            info!(self.log, "summary"; "servers" => servers, "proxies" => proxies, "commands" => ordered,
                 "calls" => calls, "calls_lost" => lost_calls, "opened" => opened, "dropped" => dropped,
                 "ended" => ended, "turned_away" => turned_away);
         }
--- a/supervisor/src/planner/tests.rs
+++ b/supervisor/src/planner/tests.rs
@@ -8,8 +8,8 @@
         "known": {"seq": 4, "whole": true, "hosts": [{"host": "a", "site": "north", "health": "active"}]},
         "settings": {"zones": ["north"], "classes": [{"name": "quote", "promiseUs": 1_000_000}]}});
     let config = Config::read(&config, |_| None).unwrap();
-    let orders = Orders::to(watch::channel(config.relay).1);
-    Planner::open(Rc::new(config), orders, Logger::root(Discard, o!())).0
+    let commands = Commands::to(watch::channel(config.relay).1);
+    Planner::open(Rc::new(config), commands, Logger::root(Discard, o!())).0
 }
 
 #[test]
@@ -20,8 +20,8 @@
     planner.guarded(now, Box::new(|_, _| panic!("index out of range")));
     let later = now + Span::secs(1.0);
     planner.rules.woke(later, 4);
-    let orders = &planner.rules.host().orders;
-    assert_eq!(orders.iter().filter(|o| o.text.contains(r#""node":3"#)).count(), 1);
+    let commands = &planner.rules.host().commands;
+    assert_eq!(commands.iter().filter(|o| o.text.contains(r#""node":3"#)).count(), 1);
 }
 
 #[test]
@@ -35,8 +35,8 @@
     let back = Listing { weight: 1.0, standing: Standing::Ready, ..gone };
     planner.rules.proxy_joined(now, 3, 0, 5.0, true);
     planner.rules.list_changed(now + Span::secs(1.0), &[back]);
-    let orders = &planner.rules.host().orders;
-    assert!(orders.iter().any(|o| o.text.contains("uneject")));
+    let commands = &planner.rules.host().commands;
+    assert!(commands.iter().any(|o| o.text.contains("uneject")));
 }
 
 #[test]
@@ -47,8 +47,8 @@
     planner.rules.woke(now + Span::secs(1.0), 4);
     planner.rules.host().learn(&[], true);
     planner.open_anew(now + Span::secs(1.0));
-    let orders = &planner.rules.host().orders;
-    assert_eq!(orders.iter().filter(|o| o.text.contains(r#""eject""#)).count(), 1);
+    let commands = &planner.rules.host().commands;
+    assert_eq!(commands.iter().filter(|o| o.text.contains(r#""eject""#)).count(), 1);
 }
 
 #[test]
--- a/supervisor/tests/sockets/common.rs
+++ b/supervisor/tests/sockets/common.rs
@@ -170,10 +170,10 @@
             }
             assert!(body.len() <= 60_000, "a call of {} bytes", body.len());
             let value: Value = serde_json::from_slice(body).unwrap();
-            let orders = value["changes"].as_array().unwrap().clone();
+            let commands = value["changes"].as_array().unwrap().clone();
             let does = plans.lock().unwrap().pop_front().unwrap_or(Does::Takes);
-            let all = orders.len();
-            let _ = told.send(orders);
+            let all = commands.len();
+            let _ = told.send(commands);
             match does {
                 Does::Takes => answer(to, "200 OK", &json!({"taken": all}).to_string()),
                 Does::TakesAndCloses => {
@@ -265,13 +265,13 @@
         self.calls.lock().unwrap().recv_timeout(LIMIT).expect("a call to the relay")
     }
 
-    /// The next order of that kind, in whatever call it comes.
-    pub fn order(&self, op: &str) -> Value {
-        self.call_with(op).into_iter().find(|order| order["op"] == op).unwrap()
+    /// The next command of that kind, in whatever call it comes.
+    pub fn command(&self, op: &str) -> Value {
+        self.call_with(op).into_iter().find(|command| command["op"] == op).unwrap()
     }
 
     pub fn call_with(&self, op: &str) -> Vec<Value> {
-        until(op, || Some(self.call()).filter(|call| call.iter().any(|order| order["op"] == op)))
+        until(op, || Some(self.call()).filter(|call| call.iter().any(|command| command["op"] == op)))
     }
 }
 
--- a/supervisor/tests/sockets/endings.rs
+++ b/supervisor/tests/sockets/endings.rs
@@ -48,9 +48,9 @@
     let (list, relay, mut supervisor) = serving();
     relay.will(Does::IsSilent);
     list.changes(&[server("a", "leaving")]);
-    relay.order("eject");
+    relay.command("eject");
     supervisor.signal("TERM");
-    assert_eq!(relay.order("eject")["endpoint"], "a");
+    assert_eq!(relay.command("eject")["endpoint"], "a");
     assert_eq!(supervisor.ends(), Some(0));
 }
 
@@ -59,7 +59,7 @@
     let (list, relay, mut supervisor) = serving();
     (0..50).for_each(|_| relay.will(Does::IsSilent));
     list.changes(&[server("a", "leaving")]);
-    relay.order("eject");
+    relay.command("eject");
     supervisor.signal("TERM");
     assert_eq!(supervisor.ends(), Some(0));
 }
@@ -102,7 +102,7 @@
     let (list, relay, mut supervisor) = serving();
     relay.will(Does::Holds);
     list.stands(&[server("b", "active")], &[server("a", "leaving")]);
-    relay.order("eject");
+    relay.command("eject");
     supervisor.child.kill().unwrap();
     supervisor.child.wait().unwrap();
     relay.releases();
@@ -125,7 +125,7 @@
 fn what_a_collector_sent_before_it_is_let_go_is_heard_to_the_end() {
     let (_list, relay, supervisor) = started(&["a", "b", "c", "d"]);
     relay.joins(7);
-    relay.order("attach");
+    relay.command("attach");
     let mut longest = supervisor.collector();
     let _others: Vec<TcpStream> = (0..7).map(|_| supervisor.collector()).collect();
     let dull = r#"{"msg":"demand","node":1,"route":"quote","total":4,"errors":0,"interval":1000.0}"#;
@@ -182,7 +182,7 @@
     config["limits"] = json!({"sockets": 256, "memory_mb": 32});
     let supervisor = Supervisor::with(&config);
     relay.joins(7);
-    relay.order("attach");
+    relay.command("attach");
     in_a_call(&relay, &list);
     let _strangers: Vec<TcpStream> = (0..300).map(|_| supervisor.connect()).collect();
     let mut collector = supervisor.collector();
--- a/supervisor/tests/sockets/list.rs
+++ b/supervisor/tests/sockets/list.rs
@@ -21,7 +21,7 @@
 }
 
 fn assert_left(relay: &Relay, id: &str) {
-    assert_eq!(relay.order("eject")["endpoint"], id);
+    assert_eq!(relay.command("eject")["endpoint"], id);
 }
 
 #[test]
@@ -34,7 +34,7 @@
         let counted = format!(r#""dropped":{},"#, n + 1);
         until("it is counted", || supervisor.page("/state").contains(&counted).then_some(()));
         list.stands(&[server("a", "active"), server("b", "active")], &[server("a", "active")]);
-        assert_eq!(relay.order("uneject")["endpoint"], "a");
+        assert_eq!(relay.command("uneject")["endpoint"], "a");
     }
     let why = supervisor.logged("list entry left out")["why"].to_string();
     assert!(why.contains("entry 0") && why.contains("'host'"), "{why}");
@@ -61,7 +61,7 @@
 fn a_server_whose_entry_in_the_whole_list_cannot_be_read_stays_as_it_was() {
     let (list, relay, supervisor) = started(&["a", "b", "c"]);
     relay.joins(7);
-    relay.order("attach");
+    relay.command("attach");
     list.will([text(9, true, &[spoilt("a", "active", "share", json!(-1)), server("b", "active")])]);
     // `c` is not there any more, `a` is, and that it was told of at all is what counts.
     assert_left(&relay, "c");
@@ -72,7 +72,7 @@
 fn where_an_entry_has_no_name_nobody_is_taken_for_missing_until_the_list_can_be_read() {
     let (list, relay, supervisor) = started(&["a", "b", "c"]);
     relay.joins(7);
-    relay.order("attach");
+    relay.command("attach");
     let nameless = [json!({"health": "active"}), server("b", "leaving")];
     list.changes_but(&[server("a", "active")], &[], text(9, true, &nameless));
     assert_left(&relay, "b");
@@ -113,7 +113,7 @@
     list.changes_but(&[server("a", "leaving"), server("b", "active")], &[server("a", "leaving")], says);
     assert_left(&relay, "a");
     list.changes(&[server("c", "active")]);
-    assert_eq!(relay.order("put")["endpoint"], "c");
+    assert_eq!(relay.command("put")["endpoint"], "c");
     listed(&supervisor, 3);
 }
 
--- a/supervisor/tests/sockets/main.rs
+++ b/supervisor/tests/sockets/main.rs
@@ -23,7 +23,7 @@
 fn serving() -> (List, Relay, Supervisor) {
     let (list, relay, supervisor) = started(&["a", "b"]);
     relay.joins(7);
-    relay.order("attach");
+    relay.command("attach");
     (list, relay, supervisor)
 }
 
@@ -35,7 +35,7 @@
     let ids: Vec<&Value> = lines.iter().filter(|o| o["op"] == "put").map(|o| &o["endpoint"]).collect();
     assert_eq!(ids, ["a", "b"]);
     let tbl = lines[0]["table"].clone();
-    assert_eq!(relay.order("attach"), json!({"op": "attach", "node": 7, "table": tbl}));
+    assert_eq!(relay.command("attach"), json!({"op": "attach", "node": 7, "table": tbl}));
 }
 
 #[test]
@@ -47,7 +47,7 @@
     assert!(call.iter().any(|o| o["op"] == "eject" && o["endpoint"] == "a"), "{call:?}");
 }
 
-/// Drains `a` while the relay does this, and checks that the very same orders come again.
+/// Drains `a` while the relay does this, and checks that the very same commands come again.
 fn comes_again_when_the_relay(does: Does) {
     let (list, relay, supervisor) = serving();
     relay.will(does);
@@ -55,29 +55,29 @@
     let lost = relay.call_with("eject");
     let mut again = relay.call();
     // What may have been carried out asks to be told when it comes.
-    again.retain(|order| order["op"] != "fence");
+    again.retain(|command| command["op"] != "fence");
     assert_eq!(again, lost);
-    supervisor.logged("orders lost");
-    supervisor.logged("relay takes orders again");
+    supervisor.logged("commands lost");
+    supervisor.logged("relay takes commands again");
 }
 
 #[test]
-fn orders_come_again_when_the_relay_breaks_the_call() {
+fn commands_come_again_when_the_relay_breaks_the_call() {
     comes_again_when_the_relay(Does::Breaks);
 }
 
 #[test]
-fn orders_come_again_when_the_relay_is_silent() {
+fn commands_come_again_when_the_relay_is_silent() {
     comes_again_when_the_relay(Does::IsSilent);
 }
 
 #[test]
-fn orders_come_again_when_the_answer_is_unreadable() {
+fn commands_come_again_when_the_answer_is_unreadable() {
     comes_again_when_the_relay(Does::Mumbles);
 }
 
 #[test]
-fn orders_come_again_when_the_relay_throttles() {
+fn commands_come_again_when_the_relay_throttles() {
     comes_again_when_the_relay(Does::Throttles);
 }
 
@@ -90,12 +90,12 @@
     list.changes(&[server("a", "leaving")]);
     (0..2).for_each(|_| _ = relay.call_with("eject"));
     supervisor.logged("the rules are opened anew");
-    assert_eq!(relay.order("put")["endpoint"], "b");
-    assert_eq!(relay.order("attach")["node"], 7);
+    assert_eq!(relay.command("put")["endpoint"], "b");
+    assert_eq!(relay.command("attach")["node"], 7);
 }
 
 #[test]
-fn orders_come_again_when_the_relay_cannot_use_the_call_once() {
+fn commands_come_again_when_the_relay_cannot_use_the_call_once() {
     comes_again_when_the_relay(Does::CannotUseIt);
 }
 
@@ -105,22 +105,22 @@
     (0..5).for_each(|_| relay.will(Does::IsSilent));
     list.changes(&[server("a", "leaving")]);
     relay.call_with("eject");
-    // Comes while orders are lost, and waits behind them.
+    // Comes while commands are lost, and waits behind them.
     list.changes(&[server("c", "active")]);
-    supervisor.logged("relay takes orders again");
+    supervisor.logged("relay takes commands again");
     assert_eq!(relay.call_with("put").last().unwrap()["op"], "fence");
     relay.joins(8);
-    assert_eq!(relay.order("attach")["node"], 8);
+    assert_eq!(relay.command("attach")["node"], 8);
 }
 
 #[test]
-fn a_connection_that_the_relay_has_closed_costs_no_orders() {
+fn a_connection_that_the_relay_has_closed_costs_no_commands() {
     let (list, relay, _supervisor) = serving();
     relay.will(Does::TakesAndCloses);
     list.changes(&[server("a", "leaving")]);
-    relay.order("eject");
+    relay.command("eject");
     list.changes(&[server("c", "active")]);
-    assert_eq!(relay.order("put")["endpoint"], "c");
+    assert_eq!(relay.command("put")["endpoint"], "c");
 }
 
 #[test]
@@ -141,7 +141,7 @@
     relay.joins(9);
     let call = relay.call_with("attach");
     let declined = call[0].clone();
-    assert_eq!(supervisor.logged("order declined by the relay")["order"], declined.to_string());
+    assert_eq!(supervisor.logged("command declined by the relay")["command"], declined.to_string());
     if call.len() > 1 {
         assert_eq!(relay.call(), call[1..]);
     }
@@ -152,11 +152,11 @@
 fn who_is_missing_when_the_event_stream_is_reopened_has_left() {
     let (_list, relay, supervisor) = serving();
     relay.joins(8);
-    relay.order("attach");
+    relay.command("attach");
     relay.forgets_all_but_the_last();
     supervisor.logged("event stream lost");
     // Whoever is still there may have gone and come meanwhile: it is bound anew.
-    assert_eq!(relay.order("attach")["node"], 8);
+    assert_eq!(relay.command("attach")["node"], 8);
     until("one proxy left", || supervisor.page("/state").contains(r#""proxies":1,"#).then_some(()));
 }
 
@@ -169,7 +169,7 @@
     supervisor.logged("event stream not found");
     relay.joins(8);
     supervisor.logged("event stream speaks again");
-    assert_eq!(relay.order("attach")["node"], 8);
+    assert_eq!(relay.command("attach")["node"], 8);
     until("both proxies", || supervisor.page("/state").contains(r#""proxies":2,"#).then_some(()));
 }
 
@@ -289,25 +289,25 @@
 }
 
 #[test]
-fn a_new_config_moves_list_orders_and_event_stream_and_a_second_file_does_so_again() {
+fn a_new_config_moves_list_commands_and_event_stream_and_a_second_file_does_so_again() {
     let (_list, _relay, supervisor) = serving();
     let mut collector = supervisor.collector();
     for n in [8, 9] {
         let (list, relay) = moved(&supervisor, &["a", "b"], n);
         // Who stands there is bound there, and who is named no more has left.
-        until("its bind", || (relay.order("attach")["node"] == n).then_some(()));
+        until("its bind", || (relay.command("attach")["node"] == n).then_some(()));
         until("one proxy", || supervisor.page("/state").contains(r#""proxies":1,"#).then_some(()));
         list.called(2);
         list.changes(&[server("a", "leaving")]);
-        assert_eq!(relay.order("eject")["endpoint"], "a");
+        assert_eq!(relay.command("eject")["endpoint"], "a");
         list.changes(&[server("a", "active")]);
-        assert_eq!(relay.order("uneject")["endpoint"], "a");
+        assert_eq!(relay.command("uneject")["endpoint"], "a");
     }
     assert_answers_a_probe(&mut collector);
 }
 
 #[test]
-fn orders_lost_at_the_old_relay_go_to_the_new_one_before_any_other() {
+fn commands_lost_at_the_old_relay_go_to_the_new_one_before_any_other() {
     let (list, relay, supervisor) = serving();
     (0..500).for_each(|_| relay.will(Does::Throttles));
     list.changes(&[server("a", "leaving")]);
@@ -332,7 +332,7 @@
     let counted = || supervisor.page("/state").contains(r#""config_refused":2"#).then_some(());
     until("both counted", counted);
     list.changes(&[server("a", "leaving")]);
-    assert_eq!(relay.order("eject")["endpoint"], "a");
+    assert_eq!(relay.command("eject")["endpoint"], "a");
 }
 
 #[test]
@@ -346,14 +346,14 @@
 fn reports_of_voided_tries_take_weight_from_a_server() {
     let (_list, relay, supervisor) = started(&["a", "b", "c", "d"]);
     relay.joins(7);
-    relay.order("attach");
+    relay.command("attach");
     let mut stream = supervisor.collector();
     for (id, errors) in [("a", 40), ("b", 0), ("c", 0), ("d", 0)] {
         let report = json!({"msg": "outcomes", "locality": "north", "endpoint": id, "total": 40,
             "errors": errors, "rtt": 41.7, "interval": 1000.0, "metrics": {"util": 0.5}});
         stream.write_all(&frame(&report.to_string())).unwrap();
     }
-    let line = relay.order("put");
+    let line = relay.command("put");
     assert_eq!(line["endpoint"], "a");
     assert!(line["w"].as_f64().unwrap() < 0.5, "{line}");
 }
@@ -365,7 +365,7 @@
     supervisor.logged("list lost");
     list.silent(false);
     list.changes(&[server("a", "leaving")]);
-    assert_eq!(relay.order("eject")["endpoint"], "a");
+    assert_eq!(relay.command("eject")["endpoint"], "a");
 }
 
 #[test]
@@ -415,7 +415,7 @@
 }
 
 #[test]
-fn more_classes_than_orders_can_name_are_refused() {
+fn more_classes_than_commands_can_name_are_refused() {
     let mut config = sound_config();
     let class = |n| json!({"name": format!("c{n}"), "promiseUs": 1_000_000, "importance": 1.0});
     config["settings"]["classes"] = (0..64).map(class).collect();
--- a/supervisor/tests/sockets/relay.rs
+++ b/supervisor/tests/sockets/relay.rs
@@ -5,32 +5,32 @@
 use serde_json::{json, Value};
 
 #[test]
-fn orders_come_again_when_the_call_is_reset() {
+fn commands_come_again_when_the_call_is_reset() {
     comes_again_when_the_relay(Does::Resets);
 }
 
 #[test]
-fn orders_come_again_when_the_answer_is_cut_in_its_status() {
+fn commands_come_again_when_the_answer_is_cut_in_its_status() {
     comes_again_when_the_relay(Does::CutsAfter(12));
 }
 
 #[test]
-fn orders_come_again_when_the_answer_is_cut_after_its_head() {
+fn commands_come_again_when_the_answer_is_cut_after_its_head() {
     comes_again_when_the_relay(Does::CutsAfter(40));
 }
 
 #[test]
-fn orders_come_again_when_the_answer_lacks_its_last_byte() {
+fn commands_come_again_when_the_answer_lacks_its_last_byte() {
     comes_again_when_the_relay(Does::CutsAfter(usize::MAX));
 }
 
 #[test]
-fn orders_come_again_when_more_was_taken_than_was_sent() {
+fn commands_come_again_when_more_was_taken_than_was_sent() {
     comes_again_when_the_relay(Does::TakesTooMany);
 }
 
 #[test]
-fn orders_come_again_when_the_answer_is_no_http() {
+fn commands_come_again_when_the_answer_is_no_http() {
     comes_again_when_the_relay(Does::Babbles);
 }
 
@@ -58,9 +58,9 @@
     relay.call_with("eject");
     relay.releases();
     let mut third = relay.call();
-    third.retain(|order| order["op"] != "fence");
+    third.retain(|command| command["op"] != "fence");
     assert_eq!(third, held);
-    supervisor.logged("relay takes orders again");
+    supervisor.logged("relay takes commands again");
     list.changes(&[server("c", "active")]);
     let next = relay.call_with("put");
     assert!(next.iter().all(|o| o["op"] != "eject"), "{next:?}");
@@ -77,10 +77,10 @@
     supervisor.reads_again(&config(other.address, new.address).to_string());
     supervisor.logged("config read again");
     let mut first = new.call();
-    first.retain(|order| order["op"] != "fence");
+    first.retain(|command| command["op"] != "fence");
     assert_eq!(first, lost);
     relay.releases();
-    assert_eq!(new.order("attach")["node"], 7);
+    assert_eq!(new.command("attach")["node"], 7);
     assert!(relay.was_called().is_none(), "nothing more goes to the old place");
 }
 
@@ -91,7 +91,7 @@
     [Does::CannotUseIt, Does::Breaks, Does::CannotUseIt].into_iter().for_each(|does| relay.will(does));
     list.changes(&[server("a", "leaving")]);
     (0..4).for_each(|_| _ = relay.call_with("eject"));
-    supervisor.logged("relay takes orders again");
+    supervisor.logged("relay takes commands again");
     assert!(supervisor.page("/state").contains(r#""opened":1,"#));
 }
 
@@ -104,12 +104,12 @@
     for spoilt in [hello(8, json!("x")), json!({"type": "hello", "object": {"node": []}})] {
         let (_list, relay, supervisor) = serving();
         relay.joins(8);
-        relay.order("attach");
+        relay.command("attach");
         relay.opens_anew_with(&[hello(7, json!(20.5)), spoilt]);
         supervisor.logged("event stream found");
         supervisor.logged("event skipped");
         // Bound anew once the opening has been heard to its end.
-        assert_eq!(relay.order("attach")["node"], 7);
+        assert_eq!(relay.command("attach")["node"], 7);
         relay.joins(9);
         until("all three", || supervisor.page("/state").contains(r#""proxies":3,"#).then_some(()));
     }
--- a/wirehost/src/desk.rs
+++ b/wirehost/src/desk.rs
@@ -1,5 +1,5 @@
 //! One instance's way out: encodes what the rules order, and lets nothing through that the wire calls a
-//! fault, so that a slip in the rules costs an order and not the process.
+//! fault, so that a slip in the rules costs a command and not the process.
 
 use otterwinch::charter::Charter;
 use otterwinch::host::{Host, Id, Products, Retry};
--- a/wirehost/src/tests.rs
+++ b/wirehost/src/tests.rs
@@ -88,7 +88,7 @@
 }
 
 #[test]
-fn orders_that_the_wire_calls_faults_are_not_sent() {
+fn commands_that_the_wire_calls_faults_are_not_sent() {
     use otterwinch::host::Host;
     let mut hosted = up_with(&["a:1"]);
     let desk = hosted.instances.get_mut(&3).unwrap().host();
