A list that turns a watch away is asked for whole; a planner that breaks at the end is no clean end

Seen, forced on sockets: a list that has lost its state answers 410 to a watch for what is newer than it knows. The supervisor kept its old version and asked the same again, for ever ('a call to the relay: Timeout'). Seen by reading: a panic in the last round before the end was passed over and the exit code was 0.

Change: only a call that did not come through (not connected, no answer) is made again from the version that is known; any other failure asks for the whole list. The outcome of both tasks is looked at before the end.

Test: list::a_list_that_counts_anew_and_refuses_what_it_does_not_know_is_followed, which fails without. For the panic there is none: nothing outside makes the planner break, and no fault is built in for tests.

--- a/supervisor/src/front.rs
+++ b/supervisor/src/front.rs
@@ -124,7 +124,7 @@
                 continue;
             }
         };
-        if house.is_full() {
+        if house.makes_room() {
             // A task that ends drops its descriptor before the next is accepted.
             yield_now().await;
         }
@@ -155,7 +155,7 @@
 
 impl House {
     /// Makes room where all places are taken; true where it had to.
-    fn is_full(&self) -> bool {
+    fn makes_room(&self) -> bool {
         if self.guests.borrow().here() < self.most {
             return false;
         }
--- a/supervisor/src/list.rs
+++ b/supervisor/src/list.rs
@@ -104,8 +104,9 @@
                 if !std::mem::replace(&mut lost, true) {
                     warn!(log, "list lost"; "why" => %failed, "version" => version);
                 }
-                // What can't be read may have been a change, and no later one tells of it again.
-                version = version.filter(|_| failed.came != Came::Answered);
+                // What can't be read may have been a change, and no later one tells of it again; a list that has
+                // lost its state may refuse to tell what is newer than it knows.
+                version = version.filter(|_| matches!(failed.came, Came::NotConnected | Came::Sent));
                 asking = false;
                 ear.tell(|rules, now| rules.list_failed(now)).await;
                 continue;
--- a/supervisor/src/main.rs
+++ b/supervisor/src/main.rs
@@ -121,8 +121,13 @@
     };
     info!(log, "{}", why);
     end.cancel();
-    if within(SETTLED_WITHIN, async { tokio::join!(planner, front) }).await.is_none() {
-        warn!(log, "ended with something still owed"; "after_ms" => SETTLED_WITHIN.as_millis() as u64);
+    match within(SETTLED_WITHIN, async { tokio::join!(planner, front) }).await {
+        Some((Ok(()), Ok(()))) => {}
+        Some((planner @ Err(_), _)) => return Err(unasked("the planner", planner)),
+        Some((_, front)) => return Err(unasked("our address", front)),
+        None => {
+            warn!(log, "ended with something still owed"; "after_ms" => SETTLED_WITHIN.as_millis() as u64);
+        }
     }
     Ok(())
 }
--- a/supervisor/tests/sockets/common.rs
+++ b/supervisor/tests/sockets/common.rs
@@ -290,6 +290,8 @@
     standing: Vec<Value>,
     changed: Vec<Value>,
     silent: bool,
+    /// Watches for what is newer than it knows are turned away.
+    refuses: bool,
     plan: VecDeque<Says>,
 }
 
@@ -331,6 +333,10 @@
             if hosts.silent {
                 return true;
             }
+            if hosts.refuses && since.is_some_and(|since: u64| since > hosts.version) {
+                answer(to, "410 Gone", "{}");
+                return true;
+            }
             match hosts.plan.pop_front() {
                 None => answer_in_pieces(to, &body.to_string()),
                 Some(Says::Text(text)) => answer(to, "200 OK", &text),
@@ -378,8 +384,9 @@
     }
 
     /// It has lost its state and counts from there.
-    pub fn restarts_at(&self, version: u64) {
-        self.hosts.0.lock().unwrap().version = version;
+    pub fn restarts_at(&self, version: u64, refuses: bool) {
+        let mut hosts = self.hosts.0.lock().unwrap();
+        (hosts.version, hosts.refuses) = (version, refuses);
     }
 
     /// A watch is under way for what is newer than all that was told: the rest has reached the planner.
--- a/supervisor/tests/sockets/list.rs
+++ b/supervisor/tests/sockets/list.rs
@@ -98,16 +98,25 @@
     assert!(call.iter().any(|o| o["op"] == "eject" && o["endpoint"] == "a"), "{call:?}");
 }
 
-#[test]
-fn a_list_that_counts_anew_is_followed() {
+fn counts_anew(refuses: bool) {
     let (list, relay, _supervisor) = serving();
     (0..5).for_each(|_| list.changes(&[]));
     list.heard_all();
-    list.restarts_at(1);
+    list.restarts_at(1, refuses);
     list.stands(&[server("a", "leaving"), server("b", "active")], &[server("a", "leaving")]);
     assert_left(&relay, "a");
 }
 
+#[test]
+fn a_list_that_counts_anew_is_followed() {
+    counts_anew(false);
+}
+
+#[test]
+fn a_list_that_counts_anew_and_refuses_what_it_does_not_know_is_followed() {
+    counts_anew(true);
+}
+
 fn comes_through(says: Says) {
     let (list, relay, supervisor) = serving();
     list.changes_but(&[server("a", "leaving"), server("b", "active")], &[server("a", "leaving")], says);
