Rename in front.rs: acceptor, connections and slots

Only renames, inside one file: House, Guests and Seat hid what the field calls acceptor, connections and slots; strangers in code are unjoined connections.

--- a/supervisor/src/front.rs
+++ b/supervisor/src/front.rs
@@ -53,17 +53,17 @@
 
 /// Who is connected, by number in the order of their coming.
 #[derive(Default)]
-struct Guests {
+struct Connections {
     coming: u64,
-    strangers: BTreeMap<u64, (AbortHandle, CancellationToken)>,
+    unjoined: BTreeMap<u64, (AbortHandle, CancellationToken)>,
     /// Collectors with their zone and when each was heard last.
     joined: BTreeMap<u64, (u32, Instant, CancellationToken)>,
 }
 
-impl Guests {
+impl Connections {
     /// A stranger has joined. Where its zone has too many connections then, the longest silent one is let go.
     fn join(&mut self, number: u64, zone: u32, most: usize) {
-        let Some((_, let_go)) = self.strangers.remove(&number) else { return };
+        let Some((_, let_go)) = self.unjoined.remove(&number) else { return };
         let of_zone = || self.joined.iter().filter(|(_, seat)| seat.0 == zone);
         let silent = of_zone().min_by_key(|(_, seat)| seat.1).map(|(number, _)| *number);
         if let Some(longest) = silent.filter(|_| of_zone().count() >= most) {
@@ -77,12 +77,12 @@
     }
 
     fn left(&mut self, number: u64) {
-        self.strangers.remove(&number);
+        self.unjoined.remove(&number);
         self.joined.remove(&number);
     }
 
     fn here(&self) -> usize {
-        self.strangers.len() + self.joined.len()
+        self.unjoined.len() + self.joined.len()
     }
 }
 
@@ -94,12 +94,12 @@
 /// refused by the closed address and not left in its queue.
 pub async fn serve(listener: TcpListener, front: Front, most: usize, end: CancellationToken) {
     let each_zone = (most / 2 / front.names.zones.len().max(1)).clamp(1, MOST_A_ZONE);
-    let house = House {
+    let acceptor = Acceptor {
         router: router(front.page.clone()),
         front,
         most,
         each_zone,
-        guests: Rc::default(),
+        connections: Rc::default(),
         tasks: TaskTracker::new(),
         full: Rc::default(),
         ended: Rc::default(),
@@ -109,10 +109,10 @@
     loop {
         let taken = tokio::select! {
             biased;
-            () = house.end.cancelled() => break,
+            () = acceptor.end.cancelled() => break,
             taken = listener.accept() => taken,
         };
-        let log = &house.front.log;
+        let log = &acceptor.front.log;
         let (stream, from) = match taken {
             Ok(taken) => taken,
             Err(e) => {
@@ -124,39 +124,39 @@
                 continue;
             }
         };
-        if house.makes_room() {
+        if acceptor.makes_room() {
             // A task that ends drops its descriptor before the next is accepted.
             yield_now().await;
         }
         // Nobody else hears our address: a slip at one connection must not cost all that follow.
-        if let Err(cause) = caught(|| house.seat(stream, from)) {
+        if let Err(cause) = caught(|| acceptor.take(stream, from)) {
             error!(log, "a connection could not be taken"; "why" => cause);
         }
     }
     while let Some(Ok((stream, from))) = listener.accept().now_or_never() {
-        house.seat(stream, from);
+        acceptor.take(stream, from);
     }
     drop(listener);
-    house.tasks.close();
-    house.tasks.wait().await;
+    acceptor.tasks.close();
+    acceptor.tasks.wait().await;
 }
 
-struct House {
+struct Acceptor {
     front: Front,
     router: Router,
     most: usize,
     each_zone: usize,
-    guests: Rc<RefCell<Guests>>,
+    connections: Rc<RefCell<Connections>>,
     tasks: TaskTracker,
     full: Rc<RefCell<Sparing>>,
     ended: Rc<RefCell<Sparing>>,
     end: CancellationToken,
 }
 
-impl House {
+impl Acceptor {
     /// Makes room where all places are taken; true where it had to.
     fn makes_room(&self) -> bool {
-        if self.guests.borrow().here() < self.most {
+        if self.connections.borrow().here() < self.most {
             return false;
         }
         self.front.ear.seen.turned_away.more();
@@ -164,42 +164,42 @@
             warn!(self.front.log, "stranger turned away: too many"; "times" => times);
         }
         // What the oldest sent has long been answered.
-        let oldest = self.guests.borrow_mut().strangers.pop_first();
+        let oldest = self.connections.borrow_mut().unjoined.pop_first();
         oldest.map(|(_, (task, _))| task.abort()).is_some()
     }
 
     /// Gives a connection a task of its own. Where no stranger could make room it is closed again.
-    fn seat(&self, stream: TcpStream, from: SocketAddr) {
-        let mut guests = self.guests.borrow_mut();
-        if guests.here() >= self.most {
+    fn take(&self, stream: TcpStream, from: SocketAddr) {
+        let mut connections = self.connections.borrow_mut();
+        if connections.here() >= self.most {
             return;
         }
-        let (number, each_zone, let_go) = (guests.coming, self.each_zone, self.end.child_token());
+        let (number, each_zone, let_go) = (connections.coming, self.each_zone, self.end.child_token());
         let (front, router, ended) = (self.front.clone(), self.router.clone(), self.ended.clone());
-        let (seat, gone) = (Seat { number, guests: self.guests.clone() }, let_go.clone());
+        let (slot, gone) = (Slot { number, connections: self.connections.clone() }, let_go.clone());
         let task = self.tasks.spawn_local(async move {
             let log = front.log.new(o!("from" => from.to_string()));
-            if let Err(failed) = one(stream, &front, router, (&seat, each_zone, &gone), &log).await {
+            if let Err(failed) = one(stream, &front, router, (&slot, each_zone, &gone), &log).await {
                 front.ear.seen.ended.more();
                 if let Some(times) = ended.borrow_mut().due() {
                     info!(log, "connection ended"; "why" => %failed, "times" => times);
                 }
             }
         });
-        guests.coming += 1;
-        guests.strangers.insert(number, (task.abort_handle(), let_go));
+        connections.coming += 1;
+        connections.unjoined.insert(number, (task.abort_handle(), let_go));
     }
 }
 
-/// A guest's place, free again however its task ends: by a panic or an abort too.
-struct Seat {
+/// A connection's place, free again however its task ends: by a panic or an abort too.
+struct Slot {
     number: u64,
-    guests: Rc<RefCell<Guests>>,
+    connections: Rc<RefCell<Connections>>,
 }
 
-impl Drop for Seat {
+impl Drop for Slot {
     fn drop(&mut self) {
-        self.guests.borrow_mut().left(self.number);
+        self.connections.borrow_mut().left(self.number);
     }
 }
 
@@ -208,7 +208,7 @@
     stream: TcpStream,
     front: &Front,
     router: Router,
-    (seat, each_zone, let_go): (&Seat, usize, &CancellationToken),
+    (slot, each_zone, let_go): (&Slot, usize, &CancellationToken),
     log: &Logger,
 ) -> Result<(), Failed> {
     let mut greeting = pin!(within(JOINED_WITHIN, greet(stream, front, router)));
@@ -221,9 +221,9 @@
     };
     let greeted = greeted.ok_or_else(|| Failed::new(Came::Sent, "not joined in time"))?;
     let Some((frames, zone)) = greeted? else { return Ok(()) };
-    seat.guests.borrow_mut().join(seat.number, zone, each_zone);
+    slot.connections.borrow_mut().join(slot.number, zone, each_zone);
     info!(log, "collector found"; "zone" => zone);
-    let heard = || seat.guests.borrow_mut().heard(seat.number);
+    let heard = || slot.connections.borrow_mut().heard(slot.number);
     collectors::listen(frames, &front.names, &front.ear, heard, let_go, log).await?;
     info!(log, "collector left");
     Ok(())
