--- a/src/rules.rs
+++ b/src/rules.rs
@@ -662,8 +662,7 @@
         let bound = self.proxies.get_mut(&proxy).expect("a joined proxy");
         (bound.bound, bound.reached) = (true, true);
         self.host.bind(proxy, bound.tbl);
-        let lines = self.tbls[&bound.tbl].sent_by_a_bind();
-        self.ledger.note(now, proxy, lines, self.charter.message_head);
+        self.ledger.note(now, proxy, self.tbls[&bound.tbl].sent_by_a_bind(), self.charter.message_head);
     }
 
     fn in_grace(&self) -> f64 {
@@ -768,9 +767,11 @@
         pulse.joined += joined;
         let over = pulse.over.as_secs().max(0.1);
         let answers = if pulse.tries < ENOUGH { 1.0 } else { pulse.answered / pulse.tries };
-        let hurting = answers < SHED_AT || pulse.middle > HURTING.0;
+        let hurting = answers < SHED_AT || pulse.middle > HURTING.0 && pulse.tries >= ENOUGH;
         let uneasy = answers < ANSWERS.1 || pulse.middle > HURTING.1;
         pulse.struggling = hurting || answers < ANSWERS.0 || pulse.struggling && uneasy;
+        // Reports tell of those who were here then: while more come they are no measure for all.
+        pulse.shed = if joined * over > pulse.joined * STEP { now } else { pulse.shed };
         if hurting && now - pulse.shed >= REPORT_LAG + self.charter.report_every {
             (pulse.budget, pulse.shed) = (Some(pulse.served / over * SAFE_SHARE), now);
             pulse.counted = pulse.joined / over;
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -489,6 +489,37 @@
     assert!(rules.levels[0] <= LEVEL_FLOOR && rules.levels[1] == 1.0);
 }
 
+/// What a supervisor knows three seconds after its start: a few tries of the first proxies that joined it.
+fn just_started(tries: f64, joined_lately: f64) -> Rules<crate::testing::Recorder> {
+    let mut rules = running(charter(), &["a", "b"], 4);
+    let (asked, over) = (vec![10.0, 10.0], Span::secs(2.0));
+    let joined = joined_lately * over.as_secs();
+    rules.pulse =
+        Pulse { asked, over, tries, answered: tries, served: tries, middle: 0.3, joined, ..Pulse::default() };
+    rules.shed(at(9.0));
+    rules
+}
+
+#[test]
+fn a_few_tries_do_not_tell_that_the_fleet_hurts() {
+    assert_eq!(just_started(3.0, 40.0).pulse.budget, None);
+    assert!(just_started(6.0, 40.0).pulse.budget.is_some());
+}
+
+#[test]
+fn while_proxies_come_what_was_answered_is_no_measure_for_them() {
+    // 40 requests a second are joined now.
+    let mut rules = just_started(20.0, 10.0);
+    assert_eq!(rules.pulse.budget, None);
+    // They have been here for as long as their reports take.
+    rules.pulse.joined = 80.0;
+    rules.shed(at(11.9));
+    assert_eq!(rules.pulse.budget, None);
+    rules.pulse.joined = 80.0;
+    rules.shed(at(12.0));
+    assert!(rules.pulse.budget.is_some());
+}
+
 #[test]
 fn levels_come_back_once_the_fleet_is_well() {
     let mut rules = running(charter(), &["a"], 1);
