--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -3,6 +3,7 @@
 mod json;
 mod net;
 mod scenarios;
+mod slices;
 mod world;
 
 use std::path::PathBuf;
--- a/review/standin/src/scenarios.rs
+++ b/review/standin/src/scenarios.rs
@@ -294,6 +294,7 @@
 pub fn run(name: &str, root: &Path, record: &Path, seed: u64, trouble: bool) -> i32 {
     match name {
         "explore" => explore(root, record, seed, trouble),
+        "slices" => crate::slices::run(root, record, trouble),
         "own-zone" => own_zone(root, record, seed, trouble),
         _ => {
             eprintln!("unknown course: {name}");
@@ -332,7 +333,9 @@
 
 /// A random course of the troubles that the pages name.
 fn explore(root: &Path, record: &Path, seed: u64, trouble: bool) -> i32 {
-    let (settings, servers): (Settings, &[usize]) = match seed % 3 {
+    let site = std::env::var("SITE").ok().and_then(|v| v.parse().ok()).unwrap_or(seed % 4);
+    let (settings, servers): (Settings, &[usize]) = match site {
+        3 => (plan(), &[3, 5, 5, 5]),
         0 => (tickets(), &[6, 6, 5, 5]),
         1 => (plan(), &[5, 5, 4, 4]),
         _ => (fares(), &[6, 5]),
