Review case 1: after a stall of the supervisor a drain comes later than the grace

Its gateways send to the draining planner for up to 2.1 s after it was told, where 1.8 s are allowed.

--- a/review/standin/src/scenarios.rs
+++ b/review/standin/src/scenarios.rs
@@ -267,7 +267,10 @@
         for line in tally {
             state.note(now, &line);
         }
-        let line = format!("calls {}, peak of waiting lines {:.0}", state.calls, state.peak_waiting);
+        let line = format!(
+            "calls {}, peak of waiting lines {:.0}, most messages to one proxy in 10 s {}",
+            state.calls, state.peak_waiting, state.peak_messages
+        );
         state.note(now, &line);
         for line in log.lines() {
             state.note(now, &format!("log {line}"));
@@ -295,6 +298,7 @@
     match name {
         "explore" => explore(root, record, seed, trouble),
         "slices" => crate::slices::run(root, record, trouble),
+        "stall" => stall(root, record, seed, trouble),
         "own-zone" => own_zone(root, record, seed, trouble, 12.0, 12.0, "rule 1"),
         "own-zone-cold" => own_zone(root, record, seed, trouble, 8.0, 12.0, "rule 4"),
         _ => {
@@ -337,6 +341,39 @@
     run.finish()
 }
 
+/// The supervisor stands still again and again, while planners drain and two new ones warm up.
+fn stall(root: &Path, record: &Path, seed: u64, trouble: bool) -> i32 {
+    let Some(run) = Run::start(plan(), &[5, 5, 4, 4], root, record, seed) else { return 2 };
+    run.wait(3.0);
+    for (id, zone) in [("n-2", 2), ("n-3", 3)] {
+        run.start_server(id, zone);
+    }
+    run.wait(0.5);
+    run.world.change(|state| ["n-2", "n-3"].iter().for_each(|id| state.set_entry(id, Health::Active)));
+    run.wait(3.0);
+    let draining: [&'static str; 4] = ["s-000", "s-100", "s-001", "s-101"];
+    for turn in 0..6 {
+        if trouble {
+            run.note("SIGSTOP");
+            run.supervisor.signal("STOP");
+        }
+        run.wait(0.1);
+        // Four of the six times a planner drains meanwhile; it is gone 4 s later.
+        if let Some(id) = draining.get(turn).copied() {
+            run.list_change(id, Health::Leaving);
+            later(&run, 4.0, move |world| world.change(|state| state.set_entry(id, Health::Left)));
+        }
+        run.wait(0.8);
+        if trouble {
+            run.supervisor.signal("CONT");
+            run.note("SIGCONT");
+        }
+        run.wait(2.0);
+    }
+    run.wait(3.0);
+    run.finish()
+}
+
 /// A random course of the troubles that the pages name.
 fn explore(root: &Path, record: &Path, seed: u64, trouble: bool) -> i32 {
     let site = std::env::var("SITE").ok().and_then(|v| v.parse().ok()).unwrap_or(seed % 4);
--- a/review/standin/src/world.rs
+++ b/review/standin/src/world.rs
@@ -242,6 +242,8 @@
     /// Bumped to end the open connections of the relay's news or the agent.
     pub news_generation: u64,
     pub peak_waiting: f64,
+    /// The most messages to one proxy within 10 s.
+    pub peak_messages: usize,
     pub cut_zone: Option<usize>,
     pub work: f64,
     pub quiet: bool,
@@ -292,6 +294,7 @@
             calls: 0,
             news_generation: 0,
             peak_waiting: 0.0,
+            peak_messages: 0,
             cut_zone: None,
             work: 0.0,
             quiet: false,
@@ -747,6 +750,7 @@
         if pushes > 0 && count > pushes {
             self.violate(now, &format!("pushes {number}"), format!("rule 5: {count} messages to proxy {number} in 10 s"));
         }
+        self.peak_messages = self.peak_messages.max(count);
         let latency = arrives - now;
         let message =
             Message { arrives, sent: now, proxy: number, connection, table, withdrawn: ejected, nonce, latency };
