--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")" || exit 2
 standin=../standin/target/release/review-standin
 [ -x "$standin" ] && [ -x ../../target/release/otterwinch ] || { echo "not built" >&2; exit 2; }
-exec "$standin" stall ../.. record.txt
+exec "$standin" own-zone ../.. record.txt
