--- a/review/standin/src/scenarios.rs
+++ b/review/standin/src/scenarios.rs
@@ -298,7 +298,8 @@
     match name {
         "explore" => explore(root, record, seed, trouble),
         "slices" => crate::slices::run(root, record, trouble),
-        "stall" => stall(root, record, seed, trouble),
+        "stall" => stall(root, record, seed, trouble, 1.5, 0.8),
+        "stall-sample" => stall(root, record, seed, trouble, 2.8, 1.5),
         "own-zone" => own_zone(root, record, seed, trouble, 12.0, 12.0, "rule 1"),
         "own-zone-cold" => own_zone(root, record, seed, trouble, 8.0, 12.0, "rule 4"),
         _ => {
@@ -341,9 +342,11 @@
     run.finish()
 }
 
-/// The supervisor stands still again and again, while planners drain and two new ones warm up.
-fn stall(root: &Path, record: &Path, seed: u64, trouble: bool) -> i32 {
-    let Some(run) = Run::start(plan(), &[5, 5, 4, 4], root, record, seed) else { return 2 };
+/// The supervisor stands still again and again, while planners drain and two new ones warm up. It stands still for
+/// `rest` seconds after it was told of a drain.
+fn stall(root: &Path, record: &Path, seed: u64, trouble: bool, grace: f64, rest: f64) -> i32 {
+    let settings = Settings { grace, ..plan() };
+    let Some(run) = Run::start(settings, &[5, 5, 4, 4], root, record, seed) else { return 2 };
     run.wait(3.0);
     for (id, zone) in [("n-2", 2), ("n-3", 3)] {
         run.start_server(id, zone);
@@ -363,7 +366,7 @@
             run.list_change(id, Health::Leaving);
             later(&run, 4.0, move |world| world.change(|state| state.set_entry(id, Health::Left)));
         }
-        run.wait(0.8);
+        run.wait(rest);
         if trouble {
             run.supervisor.signal("CONT");
             run.note("SIGCONT");
