--- a/review/standin/src/net.rs
+++ b/review/standin/src/net.rs
@@ -193,13 +193,14 @@
         let text = String::from_utf8_lossy(&request.body).into_owned();
         let line = format!("call {} fault {fault:?}: {text}", state.calls);
         state.note(now, &line);
-        let undone = matches!(fault, Some(CallFault::LostUndone | CallFault::ResetUndone));
+        let undone =
+            matches!(fault, Some(CallFault::LostUndone | CallFault::ResetUndone | CallFault::Invalid));
         let taken = if undone { 0 } else { state.carry_out(now, orders) };
         if taken < orders.len() && !undone {
             state.note(now, &format!("taken {taken} of {}", orders.len()));
         }
         match fault {
-            Some(CallFault::LostDone | CallFault::LostUndone) => state.pause_limits(now, 1.5),
+            Some(CallFault::LostDone | CallFault::LostUndone | CallFault::Late) => state.pause_limits(now, 1.5),
             Some(_) => state.pause_limits(now, 0.5),
             None => {}
         }
@@ -211,6 +212,11 @@
             answer(stream, "200 OK", &format!(r#"{{"taken":{taken}}}"#))
         }
         Some(CallFault::ResetDone | CallFault::ResetUndone) => false,
+        Some(CallFault::Invalid) => answer(stream, "400 Bad Request", r#"{"error":"invalid"}"#),
+        Some(CallFault::Late) => {
+            sleep(Duration::from_millis(400));
+            answer(stream, "200 OK", &format!(r#"{{"taken":{taken}}}"#))
+        }
         Some(_) => {
             sleep(Duration::from_secs(5));
             false
--- a/review/standin/src/scenarios.rs
+++ b/review/standin/src/scenarios.rs
@@ -438,8 +438,6 @@
 }
 
 fn rejoin(run: &Run, number: u32, secs: f64) {
-    let starts = run.supervisor.starts;
-    let _ = starts;
     later(run, secs, move |world| loop {
         let now = world.now();
         let mut state = world.lock();
@@ -575,6 +573,17 @@
             run.world.lock().answer_fault_share = 0.2 + 0.3 * a;
             later(run, 6.0, |world| world.lock().answer_fault_share = 0.0);
         }
+        // One call without an answer in time, then the answers of a known-red test.
+        "invalid" => {
+            let faults = [CallFault::LostDone, CallFault::Invalid, CallFault::ResetUndone, CallFault::Invalid];
+            run.world.lock().call_faults.extend(faults);
+        }
+        "late" => run.world.lock().call_faults.extend([CallFault::Late; 2]),
+        // Half of the servers leave the list at once.
+        "half" => {
+            let half: Vec<String> = up.iter().step_by(2).cloned().collect();
+            crash(run, &half, 9.0, 0.3 + b);
+        }
         "news" => {
             let now = run.world.now();
             let mut state = run.world.lock();
@@ -603,5 +612,4 @@
         }
         _ => {}
     }
-    let _ = CallFault::LostDone;
 }
--- a/review/standin/src/world.rs
+++ b/review/standin/src/world.rs
@@ -200,6 +200,10 @@
     ResetDone,
     /// Not carried out, the connection is reset.
     ResetUndone,
+    /// Not carried out, answered with the error `invalid`.
+    Invalid,
+    /// Carried out, answered after 0.4 s, which no page allows.
+    Late,
 }
 
 #[derive(Default, Clone, Debug)]
