--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -11,7 +11,8 @@
 
 fn main() {
     let mut arguments = std::env::args().skip(1);
-    let (Some(name), Some(root), Some(record)) = (arguments.next(), arguments.next(), arguments.next()) else {
+    let (Some(name), Some(root), Some(record)) = (arguments.next(), arguments.next(), arguments.next())
+    else {
         eprintln!("usage: review-standin SCENARIO ROOT RECORD [SEED]");
         exit(2);
     };
--- a/review/standin/src/net.rs
+++ b/review/standin/src/net.rs
@@ -60,11 +60,6 @@
             generation.fetch_add(1, Ordering::SeqCst);
         });
     }
-
-    /// Ends the open connections at once.
-    pub fn break_connections(&self) {
-        self.generation.fetch_add(1, Ordering::SeqCst);
-    }
 }
 
 pub struct Request {
@@ -104,7 +99,9 @@
         match reader.read_line(line) {
             Ok(0) => return None,
             Ok(_) => return Some(()),
-            Err(error) if matches!(error.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => {
+            Err(error)
+                if matches!(error.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) =>
+            {
                 if ended() {
                     return None;
                 }
@@ -133,7 +130,8 @@
         match reader.read(&mut body[filled..]) {
             Ok(0) => return None,
             Ok(count) => filled += count,
-            Err(error) if matches!(error.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => {}
+            Err(error)
+                if matches!(error.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => {}
             Err(_) => return None,
         }
     }
@@ -141,7 +139,10 @@
 }
 
 fn answer(stream: &mut TcpStream, status: &str, body: &str) -> bool {
-    let head = format!("HTTP/1.1 {status}\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n", body.len());
+    let head = format!(
+        "HTTP/1.1 {status}\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
     stream.write_all(format!("{head}{body}").as_bytes()).is_ok()
 }
 
@@ -200,7 +201,9 @@
             state.note(now, &format!("taken {taken} of {}", orders.len()));
         }
         match fault {
-            Some(CallFault::LostDone | CallFault::LostUndone | CallFault::Late) => state.pause_limits(now, 1.5),
+            Some(CallFault::LostDone | CallFault::LostUndone | CallFault::Late) => {
+                state.pause_limits(now, 1.5)
+            }
             Some(_) => state.pause_limits(now, 0.5),
             None => {}
         }
@@ -296,16 +299,6 @@
     stream.read_exact(&mut body).is_ok() && String::from_utf8_lossy(&body).contains("alive")
 }
 
-/// Reads a page of the program.
-pub fn page(address: &str, path: &str) -> Option<String> {
-    let mut stream = TcpStream::connect_timeout(&address.parse().ok()?, Duration::from_secs(1)).ok()?;
-    stream.set_read_timeout(Some(Duration::from_secs(2))).ok()?;
-    stream.write_all(format!("GET {path} HTTP/1.1\r\nhost: a\r\n\r\n").as_bytes()).ok()?;
-    let mut text = String::new();
-    let _ = stream.read_to_string(&mut text);
-    Some(text.split_once("\r\n\r\n")?.1.to_owned())
-}
-
 /// The collector of a zone: connects, states its zone and passes reports on each second.
 pub fn collector(world: &Arc<World>, zone: usize, listen: String) {
     let world = world.clone();
--- a/review/standin/src/scenarios.rs
+++ b/review/standin/src/scenarios.rs
@@ -107,7 +107,13 @@
 
 impl Run {
     /// Starts the stand-ins and the program, joins all proxies and waits until the run has settled.
-    pub fn start(settings: Settings, servers_per_zone: &[usize], root: &Path, record: &Path, seed: u64) -> Option<Run> {
+    pub fn start(
+        settings: Settings,
+        servers_per_zone: &[usize],
+        root: &Path,
+        record: &Path,
+        seed: u64,
+    ) -> Option<Run> {
         let file = File::create(record).ok()?;
         let world = Arc::new(World::new(settings, seed, file));
         {
@@ -262,7 +268,9 @@
         let tally: Vec<String> = state
             .tally
             .iter()
-            .map(|(name, t)| format!("{name}: sent {}, failed {}, declined by proxies {}", t.sent, t.failed, t.declined))
+            .map(|(name, t)| {
+                format!("{name}: sent {}, failed {}, declined by proxies {}", t.sent, t.failed, t.declined)
+            })
             .collect();
         for line in tally {
             state.note(now, &line);
@@ -311,7 +319,15 @@
 
 /// All servers of one hall die at once and come back cold, in a deployment where one class keeps to the hall: the
 /// first `first` seconds after the deaths, the others after `rest` seconds. The rule that `only` names is judged.
-fn own_zone(root: &Path, record: &Path, seed: u64, trouble: bool, first: f64, rest: f64, only: &'static str) -> i32 {
+fn own_zone(
+    root: &Path,
+    record: &Path,
+    seed: u64,
+    trouble: bool,
+    first: f64,
+    rest: f64,
+    only: &'static str,
+) -> i32 {
     let mut settings = tickets();
     settings.classes[1].local = true;
     let Some(run) = Run::start(settings, &[6, 6, 6, 4], root, record, seed) else { return 2 };
@@ -408,7 +424,24 @@
         };
         step += 1;
         let kinds = if only.is_empty() {
-            vec!["proxydie", "reconnect", "cutoff", "crash", "deploy", "kill", "term", "stall", "discovery", "lost", "news", "slow", "reload", "relaysilent", "zone", "zonelost"]
+            vec![
+                "proxydie",
+                "reconnect",
+                "cutoff",
+                "crash",
+                "deploy",
+                "kill",
+                "term",
+                "stall",
+                "discovery",
+                "lost",
+                "news",
+                "slow",
+                "reload",
+                "relaysilent",
+                "zone",
+                "zonelost",
+            ]
         } else {
             only.split(',').collect()
         };
@@ -465,13 +498,11 @@
         });
         later(run, down, move |world| {
             let now = world.now();
-            let zone = {
+            {
                 let mut state = world.lock();
                 let Some(zone) = state.servers.get(&other).map(|server| server.zone) else { return };
                 state.add_server(now, &other, zone, 1.0, now);
-                zone
-            };
-            let _ = zone;
+            }
             sleep(Duration::from_secs_f64(add));
             world.change(|state| state.set_entry(&other, Health::Active));
         });
@@ -575,7 +606,8 @@
         }
         // One call without an answer in time, then the answers of a known-red test.
         "invalid" => {
-            let faults = [CallFault::LostDone, CallFault::Invalid, CallFault::ResetUndone, CallFault::Invalid];
+            let faults =
+                [CallFault::LostDone, CallFault::Invalid, CallFault::ResetUndone, CallFault::Invalid];
             run.world.lock().call_faults.extend(faults);
         }
         "late" => run.world.lock().call_faults.extend([CallFault::Late; 2]),
--- a/review/standin/src/slices.rs
+++ b/review/standin/src/slices.rs
@@ -26,7 +26,9 @@
 fn env() -> String {
     let slices = SERVERS * SLICES_PER_SERVER;
     let class = |name: &str, effect: &str, importance: u32, promise: u32| {
-        format!(r#"{{"deadlineUs":4000000,"effect":"{effect}","group":"all","importance":{importance},"keyTtlUs":5000000,"lateWorth":0.1,"name":"{name}","promiseUs":{promise}}}"#)
+        format!(
+            r#"{{"deadlineUs":4000000,"effect":"{effect}","group":"all","importance":{importance},"keyTtlUs":5000000,"lateWorth":0.1,"name":"{name}","promiseUs":{promise}}}"#
+        )
     };
     let classes = [
         class("fare-quote", "idempotent", 1, 1_500_000),
@@ -281,7 +283,8 @@
         while self.now() < end {
             sleep(Duration::from_millis(4));
             let now = self.now();
-            let due: Vec<u64> = self.timers.iter().filter(|(at, _)| *at <= now).map(|(_, label)| *label).collect();
+            let due: Vec<u64> =
+                self.timers.iter().filter(|(at, _)| *at <= now).map(|(_, label)| *label).collect();
             self.timers.retain(|(at, _)| *at > now);
             if !due.is_empty() {
                 self.last_turn = now;
@@ -295,10 +298,8 @@
     }
 
     fn check(&mut self, now: f64) {
-        let warm = self
-            .servers
-            .values()
-            .any(|s| s.health == 1 && (s.started < 0.0 || now - s.started >= COLD_S));
+        let warm =
+            self.servers.values().any(|s| s.health == 1 && (s.started < 0.0 || now - s.started >= COLD_S));
         for number in 0..PROXIES {
             let proxy = &mut self.proxies[number];
             while proxy.inbox.front().is_some_and(|message| message.arrives <= now) {
@@ -317,7 +318,8 @@
                 let bare = now - *proxy.bare_since[slice].get_or_insert(now);
                 self.longest = self.longest.max(bare);
                 if bare > UNSERVED_S && self.broken.insert((number, slice)) {
-                    let text = format!("rule 1: proxy {number} has had no server for slice {slice} for {bare:.2} s");
+                    let text =
+                        format!("rule 1: proxy {number} has had no server for slice {slice} for {bare:.2} s");
                     let _ = writeln!(self.record, "{now:9.3} BROKEN {text}");
                     self.violations.push(text);
                 }
@@ -366,7 +368,8 @@
             self.play_until(at)?;
         }
         self.play_until(at + 10.0)?;
-        let text = format!("longest time without a server for a slice: {:.2} s, {UNSERVED_S} allowed", self.longest);
+        let text =
+            format!("longest time without a server for a slice: {:.2} s, {UNSERVED_S} allowed", self.longest);
         self.note(&text);
         println!("{text}");
         let broken = self.violations.len();
--- a/review/standin/src/world.rs
+++ b/review/standin/src/world.rs
@@ -252,7 +252,6 @@
     pub work: f64,
     pub quiet: bool,
     pub record: File,
-    pub start: Instant,
     pub done: bool,
 }
 
@@ -303,7 +302,6 @@
             work: 0.0,
             quiet: false,
             record,
-            start,
             done: false,
         };
         World { state: Mutex::new(state), changed: Condvar::new(), start, unix_ms: unix.as_millis() as i64 }
@@ -389,7 +387,8 @@
         state.tell(now, &listed, whole);
         let hosts: Vec<String> = listed.iter().map(|(id, e)| self.entry_json(id, e, &zones)).collect();
         if whole || !hosts.is_empty() {
-            let text: Vec<String> = listed.iter().map(|(id, e)| format!("{id}={}", e.health.word())).collect();
+            let text: Vec<String> =
+                listed.iter().map(|(id, e)| format!("{id}={}", e.health.word())).collect();
             let line = format!("list seq {} whole {whole}: {}", state.seq, text.join(" "));
             state.note(now, &line);
         }
@@ -476,12 +475,8 @@
         if now <= from {
             return 0.0;
         }
-        let mut spans: Vec<(f64, f64)> = self
-            .paused
-            .iter()
-            .map(|(a, b)| (a.max(from), b.min(now)))
-            .filter(|(a, b)| b > a)
-            .collect();
+        let mut spans: Vec<(f64, f64)> =
+            self.paused.iter().map(|(a, b)| (a.max(from), b.min(now))).filter(|(a, b)| b > a).collect();
         spans.sort_by(|a, b| a.0.total_cmp(&b.0));
         let mut excused = 0.0;
         let mut end = from;
@@ -515,7 +510,8 @@
             .filter(|(_, entry)| entry.health == Health::Active)
             .map(|(id, entry)| (id.clone(), entry.zone))
             .collect();
-        let local: Vec<String> = active.iter().filter(|(_, z)| *z == zone).map(|(id, _)| id.clone()).collect();
+        let local: Vec<String> =
+            active.iter().filter(|(_, z)| *z == zone).map(|(id, _)| id.clone()).collect();
         let mut pool = if local.len() >= 3 { local } else { active.into_iter().map(|(id, _)| id).collect() };
         let mut lines = BTreeMap::new();
         while lines.len() < self.settings.standing && !pool.is_empty() {
@@ -676,7 +672,8 @@
                 proxy.bound = Some(table);
                 let target = self.tables.entry(table).or_default();
                 let out = target.lines.keys().filter(|id| self.ejected.contains(*id)).count();
-                *lines.entry(number).or_default() += (1 + target.lines.len() + target.levels.len() + out) as f64;
+                *lines.entry(number).or_default() +=
+                    (1 + target.lines.len() + target.levels.len() + out) as f64;
             }
             word @ ("eject" | "uneject") => {
                 let server = server()?;
@@ -737,7 +734,11 @@
         let waiting: f64 = self.waiting.iter().map(|(_, lines)| lines).sum();
         self.peak_waiting = self.peak_waiting.max(waiting);
         if waiting > self.settings.most_waiting {
-            self.violate(now, "queue", format!("rule 5: {waiting:.0} lines wait, {} allowed", self.settings.most_waiting));
+            self.violate(
+                now,
+                "queue",
+                format!("rule 5: {waiting:.0} lines wait, {} allowed", self.settings.most_waiting),
+            );
         }
         let arrives = (self.channel_free + transit).max(self.last_arrival);
         self.last_arrival = arrives;
@@ -752,12 +753,24 @@
         let table = proxy.bound.and_then(|table| self.tables.get(&table).cloned());
         let connection = proxy.connection;
         if pushes > 0 && count > pushes {
-            self.violate(now, &format!("pushes {number}"), format!("rule 5: {count} messages to proxy {number} in 10 s"));
+            self.violate(
+                now,
+                &format!("pushes {number}"),
+                format!("rule 5: {count} messages to proxy {number} in 10 s"),
+            );
         }
         self.peak_messages = self.peak_messages.max(count);
         let latency = arrives - now;
-        let message =
-            Message { arrives, sent: now, proxy: number, connection, table, withdrawn: ejected, nonce, latency };
+        let message = Message {
+            arrives,
+            sent: now,
+            proxy: number,
+            connection,
+            table,
+            withdrawn: ejected,
+            nonce,
+            latency,
+        };
         self.messages.push_back(message);
     }
 
@@ -948,7 +961,11 @@
         if count > budget + 4.0 * budget.sqrt() + 4.0 {
             server.fell = true;
             if known * 3.0 >= count * 2.0 {
-                self.violate(now, &format!("cold {id}"), format!("rule 4: {count:.0} requests to cold {id} in {fall_s} s, budget {budget:.1}"));
+                self.violate(
+                    now,
+                    &format!("cold {id}"),
+                    format!("rule 4: {count:.0} requests to cold {id} in {fall_s} s, budget {budget:.1}"),
+                );
             } else {
                 self.note(now, &format!("cold {id} fell, not by those who knew"));
             }
@@ -960,7 +977,8 @@
     pub fn reports(&mut self, zone: usize) -> Vec<String> {
         let name = self.settings.zones[zone];
         let mut messages = vec![];
-        let outcomes: Vec<_> = self.outcomes.iter().filter(|((z, _), _)| *z == zone).map(|(k, v)| (k.clone(), *v)).collect();
+        let outcomes: Vec<_> =
+            self.outcomes.iter().filter(|((z, _), _)| *z == zone).map(|(k, v)| (k.clone(), *v)).collect();
         for ((_, id), (total, errors)) in outcomes {
             messages.push(format!(
                 r#"{{"msg":"outcomes","locality":"{name}","endpoint":"{id}","total":{total},"errors":{errors},"rtt":60.0,"interval":1000.0}}"#
