host: a set of request classes is a type of its own

The set was a bare u64 whose bits were tested and set in six places, and the simulation took an empty set for all classes. It now has a name for all classes, a membership test and a conversion from positions.

--- a/adapter-support/src/settings.rs
+++ b/adapter-support/src/settings.rs
@@ -2,11 +2,12 @@
 //! the only place that maps the field names of the settings to the fields of `ControllerConfig`.
 
 use otterwinch::config::{AdmissionMode, ControllerConfig, RequestClass};
+use otterwinch::host::RequestClassSet;
 use otterwinch::time::Span;
 use serde_json::Value;
 
-/// The number of bits in a `RequestClassSet`; further classes are ignored.
-const MAX_REQUEST_CLASSES: usize = 64;
+/// A [`RequestClassSet`] can't tell more classes apart; further ones are ignored.
+const MAX_REQUEST_CLASSES: usize = RequestClassSet::CAPACITY;
 
 /// A value in the settings. A missing value or one of the wrong type reads as 0, false, an empty string or an
 /// empty array.
--- a/control-plane/src/config.rs
+++ b/control-plane/src/config.rs
@@ -19,8 +19,8 @@
 /// A response of the endpoint list may be as large as the memory limit divided by this, because it takes ten
 /// times its size once decoded.
 const LIST_MEMORY_DIVISOR: u64 = 32;
-/// The commands of the controller refer to request classes by the bits of an integer.
-const MAX_REQUEST_CLASSES: usize = RequestClassSet::BITS as usize;
+/// The commands of the controller refer to request classes by a [`RequestClassSet`].
+const MAX_REQUEST_CLASSES: usize = RequestClassSet::CAPACITY;
 /// Upper bound of the proxy numbers if the settings do not state the number of proxies.
 const DEFAULT_PROXY_COUNT: u32 = 65_536;
 /// Fields that must agree with an environment variable, if it is set. The address of the endpoint list is not
--- a/control-plane/src/relay_host.rs
+++ b/control-plane/src/relay_host.rs
@@ -132,7 +132,7 @@
 
     fn class_names(&self, classes: RequestClassSet) -> Vec<&str> {
         let all = self.names.request_classes.iter().enumerate();
-        all.filter(|(position, _)| classes >> position & 1 == 1).map(|(_, name)| name.as_str()).collect()
+        all.filter(|(position, _)| classes.contains(*position)).map(|(_, name)| name.as_str()).collect()
     }
 }
 
--- a/emulator/src/relay/commands.rs
+++ b/emulator/src/relay/commands.rs
@@ -63,16 +63,9 @@
     /// The request classes that a command names; all if it has no list of names. Unknown names are ignored.
     fn request_classes(&self, change: &Value) -> RequestClassSet {
         let classes = &self.request_classes;
-        let Some(names) = change["routes"].as_array() else {
-            return (1 << classes.len()) - 1;
-        };
-        let mut set = 0;
-        for name in names {
-            if let Some(index) = classes.iter().position(|class| name == class.as_str()) {
-                set |= 1 << index;
-            }
-        }
-        set
+        let Some(names) = change["routes"].as_array() else { return RequestClassSet::ALL };
+        let position = |name: &Value| classes.iter().position(|class| name == class.as_str());
+        names.iter().filter_map(position).collect()
     }
 }
 
--- a/emulator/src/relay/commands/tests.rs
+++ b/emulator/src/relay/commands/tests.rs
@@ -1,5 +1,5 @@
 use super::super::FleetNames;
-use otterwinch::host::RetryPolicy;
+use otterwinch::host::{RequestClassSet, RetryPolicy};
 use otterwinch_simulation::simulated_host::Command;
 use serde_json::{json, Value};
 
@@ -39,10 +39,10 @@
         retry: RetryPolicy::Once,
     };
     let gate = json!({"op": "gate", "table": 1, "admit": 0.5, "policy": 2});
-    assert_eq!(decode(gate), Some(set_admission(0b111)));
+    assert_eq!(decode(gate), Some(set_admission(RequestClassSet::ALL)));
     let gate =
         json!({"op": "gate", "table": 1, "admit": 0.5, "policy": 2, "routes": ["issue", "quote", "x"]});
-    assert_eq!(decode(gate), Some(set_admission(0b101)));
+    assert_eq!(decode(gate), Some(set_admission([0, 2].into_iter().collect())));
 }
 
 #[test]
--- a/simulation/src/proxy_channel.rs
+++ b/simulation/src/proxy_channel.rs
@@ -4,6 +4,7 @@
 use crate::clock::{secs, Time};
 use crate::route_table::{AdmissionLevel, RouteTable, TableSnapshot};
 use crate::simulated_host::Command;
+use otterwinch::host::RequestClassSet;
 use otterwinch_fleet::model::ControlPlane;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -155,11 +156,11 @@
         table.invalidate_snapshot();
     }
 
-    /// Sets the admission level of request classes in a table. An empty set stands for all classes.
-    fn set_admission(&mut self, table_id: u32, request_classes: u64, level: AdmissionLevel) {
+    /// Sets the admission level of request classes in a table.
+    fn set_admission(&mut self, table_id: u32, request_classes: RequestClassSet, level: AdmissionLevel) {
         let table = self.table(table_id);
         for (class, current) in table.admission.iter_mut().enumerate() {
-            if request_classes == 0 || request_classes >> class & 1 == 1 {
+            if request_classes.contains(class) {
                 *current = Some(level);
             }
         }
--- a/simulation/src/simulated_host.rs
+++ b/simulation/src/simulated_host.rs
@@ -47,7 +47,7 @@
     SetAdmission {
         /// The table to change.
         table_id: u32,
-        /// The request classes. An empty set stands for all of them.
+        /// The request classes.
         request_classes: RequestClassSet,
         /// The fraction of client attempts to admit.
         admitted: f64,
--- a/simulator-adapter/src/wire_host.rs
+++ b/simulator-adapter/src/wire_host.rs
@@ -75,7 +75,7 @@
     fn set_admission(&mut self, table: u32, classes: RequestClassSet, admitted: f64, retry: RetryPolicy) {
         let retry_number = retry as u8;
         let fields =
-            json!({"mapId": table, "forClasses": classes, "allowance": admitted, "how": retry_number});
+            json!({"mapId": table, "forClasses": classes.bits(), "allowance": admitted, "how": retry_number});
         self.send_if_valid(self.validator.check_admission(table, admitted), "SET_LEVEL", fields);
     }
 
--- a/src/controller/publication.rs
+++ b/src/controller/publication.rs
@@ -13,7 +13,7 @@
 use super::endpoints::EndpointRegistry;
 use super::routing::RoutingSnapshot;
 use super::Controller;
-use crate::host::{EndpointId, Host};
+use crate::host::{EndpointId, Host, RequestClassSet};
 use crate::time::{Moment, Span};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -273,7 +273,8 @@
         if with_admission {
             for (class, level) in self.admission.levels.iter().copied().enumerate() {
                 if table.publish_admission_level(class, level) {
-                    self.host.set_admission(number, 1 << class, level, RETRY_POLICY);
+                    let classes = RequestClassSet::from_iter([class]);
+                    self.host.set_admission(number, classes, level, RETRY_POLICY);
                     commands += 1;
                 }
             }
--- a/src/controller/sharding.rs
+++ b/src/controller/sharding.rs
@@ -135,13 +135,8 @@
     }
 
     fn write_classes(&self) -> RequestClassSet {
-        let mut classes = 0;
-        for (position, class) in self.config.request_classes.iter().enumerate() {
-            if class.writes {
-                classes |= 1 << position;
-            }
-        }
-        classes
+        let classes = self.config.request_classes.iter().enumerate();
+        classes.filter(|(_, class)| class.writes).map(|(position, _)| position).collect()
     }
 }
 
--- a/src/controller/sharding/tests.rs
+++ b/src/controller/sharding/tests.rs
@@ -1,5 +1,5 @@
 use crate::config::ControllerConfig;
-use crate::host::RetryPolicy;
+use crate::host::{RequestClassSet, RetryPolicy};
 use crate::testing::{at, config, draining, eject, removed, running_controller, set_weight, Command};
 
 #[test]
@@ -20,7 +20,8 @@
     controller.shard_assigned(1);
     controller.shard_weight_restored(1, &"a".into(), 1.0);
     controller.endpoints_updated(at(2.0), &[draining("a")]);
+    let writes = RequestClassSet::from_iter([1]);
     let stop_writes =
-        Command::SetAdmission { table: 1, classes: 1 << 1, admitted: 0.0, retry: RetryPolicy::Never };
+        Command::SetAdmission { table: 1, classes: writes, admitted: 0.0, retry: RetryPolicy::Never };
     assert_eq!(controller.host.commands, [eject("a"), stop_writes]);
 }
--- a/src/host.rs
+++ b/src/host.rs
@@ -7,8 +7,41 @@
 /// The identifier of an endpoint in the endpoint list.
 pub type EndpointId = Rc<str>;
 
-/// A set of request classes: bit k stands for the class at position k of the configuration.
-pub type RequestClassSet = u64;
+/// A set of request classes, which are identified by their positions in the configuration.
+///
+/// ```
+/// use otterwinch::host::RequestClassSet;
+/// let classes: RequestClassSet = [0, 3].into_iter().collect();
+/// assert!(classes.contains(3) && !classes.contains(1));
+/// assert_eq!(classes.bits(), 0b1001);
+/// assert!(RequestClassSet::ALL.contains(1));
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RequestClassSet(u64);
+
+impl RequestClassSet {
+    /// The most classes that a set can tell apart; their positions are below this.
+    pub const CAPACITY: usize = u64::BITS as usize;
+    /// All classes, however many are configured.
+    pub const ALL: Self = RequestClassSet(u64::MAX);
+
+    /// Whether the set has the class at this position.
+    pub fn contains(self, position: usize) -> bool {
+        position < Self::CAPACITY && self.0 >> position & 1 == 1
+    }
+
+    /// The set as an integer: bit k stands for the class at position k.
+    pub fn bits(self) -> u64 {
+        self.0
+    }
+}
+
+impl FromIterator<usize> for RequestClassSet {
+    /// The set of the classes at these positions, which must be below [`RequestClassSet::CAPACITY`].
+    fn from_iter<T: IntoIterator<Item = usize>>(positions: T) -> Self {
+        RequestClassSet(positions.into_iter().fold(0, |bits, position| bits | 1 << position))
+    }
+}
 
 /// The state of an endpoint in the endpoint list.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
