controller: a proxy has a table assignment for each group of request classes

Preparation: there is one group so far, that of all classes. An assignment names its classes, which the relay's attach and the simulator's INSTALL can express; for all classes both stay as they were.

--- a/control-plane/src/command.rs
+++ b/control-plane/src/command.rs
@@ -43,12 +43,18 @@
         Command::new(value, CommandKind::Weight { table, endpoint: endpoint.clone() })
     }
 
-    /// Assigns a route table to a proxy.
+    /// Assigns a route table to a proxy, for all request classes.
     pub fn assign_table(proxy: u32, table: u32) -> Self {
         let value = json!({"op": "attach", "node": proxy, "table": table});
         Command::new(value, CommandKind::Assignment { proxy })
     }
 
+    /// Assigns a route table to a proxy, for the requests of `classes`.
+    pub fn assign_table_for(proxy: u32, table: u32, classes: &[&str]) -> Self {
+        let value = json!({"op": "attach", "node": proxy, "table": table, "routes": classes});
+        Command::new(value, CommandKind::Assignment { proxy })
+    }
+
     /// Ejects an endpoint from all proxies.
     pub fn eject(endpoint: &EndpointId) -> Self {
         Command::new(json!({"op": "eject", "endpoint": &**endpoint}), CommandKind::Ejection)
@@ -87,6 +93,7 @@
     pub fn reaches_same_proxies(&self, next: &CommandKind) -> bool {
         match (self, next) {
             (_, CommandKind::AcknowledgementRequest) | (CommandKind::Ejection, CommandKind::Ejection) => true,
+            (CommandKind::Assignment { proxy }, CommandKind::Assignment { proxy: next }) => proxy == next,
             _ => self.table().is_some() && self.table() == next.table(),
         }
     }
--- a/control-plane/src/relay_host.rs
+++ b/control-plane/src/relay_host.rs
@@ -142,9 +142,14 @@
         self.issue(validation, Command::set_weight(table, endpoint, weight));
     }
 
-    fn assign_table(&mut self, proxy: u32, table: u32) {
+    fn assign_table(&mut self, proxy: u32, table: u32, classes: RequestClassSet) {
         let validation = self.validator.check_assignment(proxy, table);
-        self.issue(validation, Command::assign_table(proxy, table));
+        let command = if classes == RequestClassSet::ALL {
+            Command::assign_table(proxy, table)
+        } else {
+            Command::assign_table_for(proxy, table, &self.class_names(classes))
+        };
+        self.issue(validation, command);
     }
 
     fn eject_endpoint(&mut self, endpoint: &EndpointId) {
--- a/emulator/src/relay/commands.rs
+++ b/emulator/src/relay/commands.rs
@@ -38,7 +38,9 @@
                 endpoint: self.endpoint(change)?,
                 weight: non_negative_field(change, "w")?,
             },
-            "attach" => Command::AssignTable {
+            // An emulated proxy has one table for all request classes, so an assignment for some of them is
+            // invalid here.
+            "attach" if change["routes"].is_null() => Command::AssignTable {
                 proxy: unsigned_field(change, "node").filter(|proxy| is_connected(*proxy))?,
                 table_id: unsigned_field(change, "table")?,
             },
--- a/emulator/src/relay/commands/tests.rs
+++ b/emulator/src/relay/commands/tests.rs
@@ -52,6 +52,7 @@
         json!({"op": "put", "table": 3, "endpoint": "east-1", "w": -1.0}),
         json!({"op": "put", "table": -3, "endpoint": "east-1", "w": 1.0}),
         json!({"op": "attach", "node": 5, "table": 3}),
+        json!({"op": "attach", "node": CONNECTED_PROXY, "table": 3, "routes": ["hold"]}),
         json!({"op": "gate", "table": 1, "admit": 0.5, "policy": 4}),
         json!({"op": "gate", "table": 1, "policy": 0}),
         json!({"op": "fence"}),
--- a/simulation/src/simulated_host.rs
+++ b/simulation/src/simulated_host.rs
@@ -79,7 +79,10 @@
         }
     }
 
-    fn assign_table(&mut self, proxy: u32, table_id: u32) {
+    /// A fleet description has no request class that must not leave its zone, so that each assignment is for
+    /// all classes.
+    fn assign_table(&mut self, proxy: u32, table_id: u32, classes: RequestClassSet) {
+        debug_assert_eq!(classes, RequestClassSet::ALL, "a simulated proxy has one table for all classes");
         self.commands.push(Command::AssignTable { proxy, table_id });
     }
 
--- a/simulator-adapter/src/adapter/tests.rs
+++ b/simulator-adapter/src/adapter/tests.rs
@@ -108,10 +108,10 @@
 
 #[test]
 fn invalid_commands_are_not_sent() {
-    use otterwinch::host::Host;
+    use otterwinch::host::{Host, RequestClassSet};
     let mut adapter = adapter_with_endpoints(&["a:1"]);
     let host = adapter.instances.get_mut(&3).unwrap().host_mut();
-    host.assign_table(5, 0);
+    host.assign_table(5, 0, RequestClassSet::ALL);
     host.set_endpoint_weight(0, &"unlisted:1".into(), 1.0);
     host.set_endpoint_weight(0, &"a:1".into(), -1.0);
     host.set_endpoint_weight(65_535, &"a:1".into(), 1.0);
--- a/simulator-adapter/src/wire_host.rs
+++ b/simulator-adapter/src/wire_host.rs
@@ -15,6 +15,9 @@
 /// The shortest timer delay that the simulator accepts.
 const MIN_TIMER_DELAY: Span = Span::from_us(1);
 
+/// Stands for all request classes on the wire.
+const ALL_CLASSES: u64 = 0;
+
 /// Encodes the commands of one instance.
 pub struct WireHost {
     instance: u64,
@@ -55,8 +58,9 @@
         self.send_if_valid(self.validator.check_weight(table, endpoint, weight), "ENDPOINT", fields);
     }
 
-    fn assign_table(&mut self, proxy: u32, table: u32) {
-        let fields = json!({"px": proxy, "mapId": table, "forClasses": 0});
+    fn assign_table(&mut self, proxy: u32, table: u32, classes: RequestClassSet) {
+        let for_classes = if classes == RequestClassSet::ALL { ALL_CLASSES } else { classes.bits() };
+        let fields = json!({"px": proxy, "mapId": table, "forClasses": for_classes});
         self.send_if_valid(self.validator.check_assignment(proxy, table), "INSTALL", fields);
     }
 
--- a/src/controller/assignment.rs
+++ b/src/controller/assignment.rs
@@ -1,10 +1,11 @@
-//! Assignment of joined proxies to their route tables.
+//! Assignment of joined proxies to their route tables, one for each group of request classes.
 //!
 //! [`Controller`] assigns proxies whenever it issues commands, and only if no weight change or ejection was
-//! deferred because it did not fit into the channel. A proxy waits for [`JOIN_COLLECTION_TIME`] and until its
-//! table holds a ready endpoint and the assignment fits into the queue of the channel; a nearly empty queue
-//! accepts an assignment of any size. A proxy that was never assigned waits for a ready endpoint only up to a
-//! timeout and is then assigned its table as it is. An assignment that is in effect is not changed.
+//! deferred because it did not fit into the channel. Each assignment of a proxy waits for
+//! [`JOIN_COLLECTION_TIME`] and until its table holds a ready endpoint and it fits into the queue of the
+//! channel; a nearly empty queue accepts an assignment of any size. A proxy that was never assigned waits for a
+//! ready endpoint only up to a timeout and is then assigned its tables as they are. An assignment that is in
+//! effect is not changed.
 
 use super::channel::{ChannelLimits, Urgency};
 use super::Controller;
@@ -28,6 +29,12 @@
 /// A queue of at most this many lines accepts an assignment of any size.
 const IDLE_QUEUE_LINES: f64 = 1.0;
 
+/// An assignment that was not made yet.
+struct WaitingAssignment {
+    proxy: u32,
+    table: u32,
+}
+
 impl<H: Host> Controller<H> {
     /// Whether assignments take priority over ordinary weight changes, because so many endpoints are draining
     /// or removed that stale tables may soon hold no ready endpoint.
@@ -36,21 +43,20 @@
         unready > self.endpoints.len() as f64 * ASSIGNMENT_PRIORITY_FRACTION && self.proxies.any_unassigned()
     }
 
-    /// Assigns the waiting proxies that are eligible. Proxies that still use their initial table come first,
-    /// then those with the highest request rate.
+    /// Makes the waiting assignments that are eligible. Those of proxies that still use their initial table
+    /// come first, then those of proxies with the highest request rate.
     pub(super) fn assign_waiting(&mut self, now: Moment, limits: &ChannelLimits) {
         let max_lines = limits.max_lines(Urgency::Ordinary);
-        for proxy_number in self.waiting_proxies() {
-            let proxy = &self.proxies.joined[&proxy_number];
-            let table = proxy.table;
-            let waited = now - proxy.waiting_since;
-            let has_timed_out = proxy.has_initial_table && waited >= FIRST_ASSIGNMENT_TIMEOUT;
+        for WaitingAssignment { proxy, table } in self.waiting_assignments() {
+            let state = &self.proxies.joined[&proxy];
+            let waited = now - state.waiting_since;
+            let has_timed_out = state.has_initial_table && waited >= FIRST_ASSIGNMENT_TIMEOUT;
             let queued = self.channel.backlog.queued_lines(now);
             let message = limits.message_overhead + self.tables.by_number[&table].assignment_lines();
             if waited < JOIN_COLLECTION_TIME || queued > IDLE_QUEUE_LINES && queued + message > max_lines {
                 self.schedule_recheck();
             } else if has_timed_out || self.tables.has_ready_endpoint(table, &self.endpoints) {
-                self.assign(now, proxy_number, limits);
+                self.assign(now, proxy, table, limits);
             } else if self.timers.mark_scheduled(Timer::AssignmentRetry) {
                 let jitter = RETRY_JITTER_MIN + RETRY_JITTER_SPREAD * self.rng.next_f64();
                 self.host.schedule_timer(ASSIGNMENT_RETRY_INTERVAL * jitter, Timer::AssignmentRetry);
@@ -58,20 +64,28 @@
         }
     }
 
-    fn waiting_proxies(&self) -> Vec<u32> {
+    fn waiting_assignments(&self) -> Vec<WaitingAssignment> {
         let joined = &self.proxies.joined;
-        let mut waiting = self.proxies.matching(|proxy| !proxy.is_assigned);
-        waiting.sort_by(|a, b| {
+        let mut proxies = self.proxies.matching(|proxy| !proxy.is_assigned());
+        proxies.sort_by(|a, b| {
             let (a, b) = (&joined[a], &joined[b]);
             b.has_initial_table.cmp(&a.has_initial_table).then(b.rate.total_cmp(&a.rate))
         });
+        let mut waiting = Vec::new();
+        for proxy in proxies {
+            for assignment in &joined[&proxy].assignments {
+                if !assignment.is_assigned {
+                    waiting.push(WaitingAssignment { proxy, table: assignment.table });
+                }
+            }
+        }
         waiting
     }
 
-    /// Assigns a proxy to its table and records the assignment's lines in the channel backlog.
-    pub(super) fn assign(&mut self, now: Moment, proxy: u32, limits: &ChannelLimits) {
-        let table = self.proxies.mark_assigned(proxy);
-        self.host.assign_table(proxy, table);
+    /// Assigns a proxy to one of its tables and records the assignment's lines in the channel backlog.
+    pub(super) fn assign(&mut self, now: Moment, proxy: u32, table: u32, limits: &ChannelLimits) {
+        let classes = self.proxies.mark_assigned(proxy, table);
+        self.host.assign_table(proxy, table, classes);
         let lines = self.tables.by_number[&table].assignment_lines();
         self.channel.backlog.record(now, proxy, lines, limits.message_overhead);
     }
--- a/src/controller/delivery.rs
+++ b/src/controller/delivery.rs
@@ -3,7 +3,7 @@
 //! Commands that were lost, or may have been, are resent; only their acknowledgement request may be added or
 //! replaced. No other commands are sent until they are accepted, since commands queued up behind them would
 //! arrive in one burst. If all outstanding acknowledgements are lost while the queue is long, because their
-//! proxies left or the event stream broke, one proxy is assigned to its table again so that it sends a new
+//! proxies left or the event stream broke, one proxy is assigned to a table of its own again so that it sends a new
 //! acknowledgement.
 
 use super::channel::{ChannelLimits, Urgency};
@@ -47,7 +47,7 @@
         self.host.schedule_timer(resend_delay, Timer::Resend);
     }
 
-    /// Assigns a randomly chosen proxy again if the queue exceeds the limit for ordinary commands and all
+    /// Assigns a randomly chosen proxy to one of its tables again if the queue exceeds the limit for ordinary commands and all
     /// outstanding acknowledgements must have been lost.
     pub(super) fn recover_acknowledgements(&mut self, now: Moment, limits: &ChannelLimits) {
         let queued = self.channel.backlog.queued_lines(now);
@@ -57,11 +57,17 @@
         if queued <= limits.max_lines(Urgency::Ordinary) || inactive_for <= timeout {
             return;
         }
-        let proxies_with_ready_endpoint =
-            self.proxies.matching(|proxy| self.tables.has_ready_endpoint(proxy.table, &self.endpoints));
-        let position = (proxies_with_ready_endpoint.len() as f64 * self.rng.next_f64()) as usize;
-        if let Some(proxy) = proxies_with_ready_endpoint.get(position) {
-            self.assign(now, *proxy, limits);
+        let has_ready_endpoint = |table: &u32| self.tables.has_ready_endpoint(*table, &self.endpoints);
+        let mut candidates = Vec::new();
+        for (proxy, state) in &self.proxies.joined {
+            let mut tables = state.assignments.iter().map(|assignment| assignment.table);
+            if let Some(table) = tables.find(has_ready_endpoint) {
+                candidates.push((*proxy, table));
+            }
+        }
+        let position = (candidates.len() as f64 * self.rng.next_f64()) as usize;
+        if let Some((proxy, table)) = candidates.get(position) {
+            self.assign(now, *proxy, *table, limits);
         }
     }
 
--- a/src/controller/ejection.rs
+++ b/src/controller/ejection.rs
@@ -66,7 +66,7 @@
             self.schedule_recheck();
             return false;
         }
-        let unassigned = self.proxies.matching(|proxy| !proxy.is_assigned);
+        let unassigned = self.proxies.matching(|proxy| !proxy.is_assigned());
         let available = self.channel.available_lines(now, Urgency::Urgent, &unassigned, limits);
         let cost = |count| self.ejection_cost(count, limits);
         let count = if is_queue_short { limits.largest_batch(to_eject.len(), available, cost) } else { 0 };
@@ -113,7 +113,7 @@
             let lines = (lines_per_entry * entries).min(all);
             StaleProxyCost { proxy: number, lines, overhead: message_overhead * lines.min(1.0) }
         };
-        let unassigned = self.proxies.joined.iter().filter(|(_, proxy)| !proxy.is_assigned);
+        let unassigned = self.proxies.joined.iter().filter(|(_, proxy)| !proxy.is_assigned());
         unassigned.filter(move |_| ejections > 0).map(move |(number, proxy)| cost(*number, proxy))
     }
 
--- a/src/controller/ejection/tests.rs
+++ b/src/controller/ejection/tests.rs
@@ -20,8 +20,8 @@
     controller.channel.backlog = ChannelBacklog::default();
     controller.commands_lost(at(2.0), false);
     for proxy in controller.proxies.joined.values_mut() {
-        proxy.is_assigned = false;
-        proxy.receives_updates = false;
+        proxy.assignments[0].is_assigned = false;
+        proxy.assignments[0].receives_updates = false;
     }
     controller.endpoints_updated(at(2.1), &[draining("12")]);
     controller.commands_accepted(at(4.0));
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -23,7 +23,7 @@
 //! | `changes` | which differences from the published tables are worth sending |
 //! | `publication` | when changes are sent, and in which order |
 //! | `ejection` | when endpoints that are no longer ready are ejected from proxies with stale tables |
-//! | `assignment` | when a proxy is assigned to its route table |
+//! | `assignment` | when a proxy is assigned to its route tables |
 //! | `channel` | how many lines may be queued in the channel |
 //! | `delivery` | how lost commands and lost acknowledgements are handled |
 //! | `sharding` | which endpoint serves each shard |
@@ -146,9 +146,11 @@
     /// means that it still uses the endpoints it selected at random when it started.
     pub fn proxy_joined(&mut self, now: Moment, proxy: u32, zone: u32, rate: f64, has_initial_table: bool) {
         let limits = ChannelLimits::new(&self.config, &self.endpoints);
-        let placement = routing::table_for(proxy, zone, &self.config, &self.endpoints, &limits);
-        self.proxies.join(now, proxy, zone, rate, has_initial_table, placement.number);
-        self.tables.create_if_missing(&placement);
+        let placements = routing::placements(proxy, zone, &self.config, &self.endpoints, &limits);
+        self.proxies.join(now, proxy, zone, rate, has_initial_table, &placements);
+        for placement in &placements {
+            self.tables.create_if_missing(placement);
+        }
         // Until it is assigned, the proxy uses a table that this controller did not publish and that may
         // contain endpoints that are no longer ready.
         self.endpoints.reset_ejected_everywhere();
@@ -217,7 +219,8 @@
         }
     }
 
-    /// Handles a rejected table assignment: the proxy is assigned again as if it had just joined.
+    /// Handles a rejected table assignment: the proxy is assigned to its tables again as if it had just
+    /// joined.
     pub fn assignment_rejected(&mut self, now: Moment, proxy: u32) {
         self.proxies.unassign(now, proxy);
         self.schedule_recheck();
--- a/src/controller/proxies.rs
+++ b/src/controller/proxies.rs
@@ -1,9 +1,11 @@
-//! The proxy registry: the joined proxies, the route table of each, and the usual request rates of all
+//! The proxy registry: the joined proxies, the route tables of each, and the usual request rates of all
 //! proxies that have ever joined.
 //!
 //! [`Controller`](super::Controller) records here which proxies join and leave, `assignment` assigns them to
 //! their tables, and `publication` reads the request rates of the zones for routing.
 
+use super::routing::TablePlacement;
+use crate::host::RequestClassSet;
 use crate::time::Moment;
 use std::collections::BTreeMap;
 
@@ -11,21 +13,43 @@
 pub(super) struct Proxy {
     /// Its usual request rate, in requests per second.
     pub(super) rate: f64,
-    /// When it joined, or when its assignment was last rejected.
+    /// When it joined, or when an assignment of it was last rejected.
     pub(super) waiting_since: Moment,
     /// Whether, when it joined, it had never been assigned a table by any controller and still used the few
     /// endpoints that it selected when it started.
     pub(super) has_initial_table: bool,
-    /// The table that it is or will be assigned to.
+    /// The tables that it is or will be assigned to, one for each group of request classes.
+    pub(super) assignments: Vec<TableAssignment>,
+}
+
+/// The table of a proxy for some request classes.
+pub(super) struct TableAssignment {
     pub(super) table: u32,
-    /// Whether it was assigned to its table since it last joined or had its assignment rejected. Until then
-    /// it may use a stale table from an earlier stream.
+    pub(super) classes: RequestClassSet,
+    /// Whether the proxy was assigned to the table since it last joined or had an assignment rejected. Until
+    /// then it may use a stale table from an earlier stream.
     pub(super) is_assigned: bool,
-    /// Whether changes of its table are assumed to reach it: it is assigned to the table, or was and may
-    /// still be.
+    /// Whether changes of the table are assumed to reach the proxy: it is assigned to the table, or was and
+    /// may still be.
     pub(super) receives_updates: bool,
 }
 
+impl Proxy {
+    /// Whether it is assigned to all of its tables.
+    pub(super) fn is_assigned(&self) -> bool {
+        self.assignments.iter().all(|assignment| assignment.is_assigned)
+    }
+
+    /// Whether changes of any of its tables are assumed to reach it.
+    pub(super) fn receives_updates(&self) -> bool {
+        self.assignments.iter().any(|assignment| assignment.receives_updates)
+    }
+
+    fn receives_updates_of(&self, table: u32) -> bool {
+        self.assignments.iter().any(|assignment| assignment.table == table && assignment.receives_updates)
+    }
+}
+
 /// The zone and the usual request rate of a proxy that has joined at least once.
 struct SeenProxy {
     zone: u32,
@@ -49,20 +73,23 @@
         zone: u32,
         rate: f64,
         has_initial_table: bool,
-        table: u32,
+        placements: &[TablePlacement],
     ) {
         let was_seen = self.seen.insert(proxy, SeenProxy { zone, rate }).is_some();
-        // A proxy that joins again without having left may still have its table. Until it is assigned again,
-        // changes of that table still reach it.
-        let receives_updates =
-            self.joined.get(&proxy).is_some_and(|former| former.receives_updates && former.table == table);
+        let former = self.joined.get(&proxy);
+        let assignment = |placement: &TablePlacement| TableAssignment {
+            table: placement.number,
+            classes: placement.classes,
+            is_assigned: false,
+            // A proxy that joins again without having left may still have its table. Until it is assigned
+            // again, changes of that table still reach it.
+            receives_updates: former.is_some_and(|former| former.receives_updates_of(placement.number)),
+        };
         let proxy_state = Proxy {
             rate,
             waiting_since: now,
             has_initial_table: has_initial_table && !was_seen,
-            table,
-            is_assigned: false,
-            receives_updates,
+            assignments: placements.iter().map(assignment).collect(),
         };
         self.joined.insert(proxy, proxy_state);
     }
@@ -72,20 +99,25 @@
         self.joined.remove(&proxy);
     }
 
-    /// Marks a proxy as assigned to its table and returns the table's number.
-    pub(super) fn mark_assigned(&mut self, proxy: u32) -> u32 {
+    /// Marks a proxy as assigned to one of its tables and returns the request classes that it uses it for.
+    pub(super) fn mark_assigned(&mut self, proxy: u32, table: u32) -> RequestClassSet {
         let state = self.joined.get_mut(&proxy).expect("only joined proxies are assigned");
-        state.is_assigned = true;
-        state.receives_updates = true;
-        state.table
+        let mut assignments = state.assignments.iter_mut();
+        let assignment =
+            assignments.find(|assignment| assignment.table == table).expect("proxies have their own tables");
+        assignment.is_assigned = true;
+        assignment.receives_updates = true;
+        assignment.classes
     }
 
-    /// Marks a proxy whose assignment was rejected as unassigned and restarts its wait for an assignment.
-    /// Changes of its table are still assumed to reach it.
+    /// Marks a proxy that had an assignment rejected as unassigned, and restarts its wait for its
+    /// assignments. Changes of its tables are still assumed to reach it.
     pub(super) fn unassign(&mut self, now: Moment, proxy: u32) {
         if let Some(state) = self.joined.get_mut(&proxy) {
-            state.is_assigned = false;
             state.waiting_since = now;
+            for assignment in &mut state.assignments {
+                assignment.is_assigned = false;
+            }
         }
     }
 
@@ -94,9 +126,9 @@
         self.joined.iter().filter(|(_, proxy)| predicate(proxy)).map(|(number, _)| *number).collect()
     }
 
-    /// Whether any joined proxy is not assigned to its table yet.
+    /// Whether any joined proxy is not assigned to all of its tables yet.
     pub(super) fn any_unassigned(&self) -> bool {
-        self.joined.values().any(|proxy| !proxy.is_assigned)
+        self.joined.values().any(|proxy| !proxy.is_assigned())
     }
 
     /// The total usual request rate of all joined proxies, in requests per second.
--- a/src/controller/publication.rs
+++ b/src/controller/publication.rs
@@ -11,6 +11,7 @@
 use super::changes::{self, TableChanges, WeightChange};
 use super::channel::{ChannelLimits, Urgency};
 use super::endpoints::EndpointRegistry;
+use super::proxies::Proxy;
 use super::routing::RoutingSnapshot;
 use super::Controller;
 use crate::host::{EndpointId, Host, RequestClassSet};
@@ -115,7 +116,7 @@
         ordinary_due: bool,
         is_queue_short: bool,
     ) -> bool {
-        let receivers = self.proxies.matching(|proxy| proxy.receives_updates);
+        let receivers = self.proxies.matching(Proxy::receives_updates);
         let mut pending = self.collect_changes(now, limits, &receivers);
         let mut batch = UrgentBatch::new(&pending, &self.endpoints);
         let available = self.channel.available_lines(now, Urgency::Urgent, &receivers, limits);
@@ -152,7 +153,11 @@
         let snapshot = self.routing_snapshot(now, limits);
         let mut receivers_by_table = BTreeMap::<u32, Vec<u32>>::new();
         for proxy in receivers {
-            receivers_by_table.entry(self.proxies.joined[proxy].table).or_default().push(*proxy);
+            for assignment in &self.proxies.joined[proxy].assignments {
+                if assignment.receives_updates {
+                    receivers_by_table.entry(assignment.table).or_default().push(*proxy);
+                }
+            }
         }
         let mut pending = Vec::new();
         for number in self.tables.by_number.keys().copied().collect::<Vec<_>>() {
--- a/src/controller/routing.rs
+++ b/src/controller/routing.rs
@@ -11,7 +11,7 @@
 use super::outliers;
 use super::slow_start::{slow_start_factor, slow_start_weights, EndpointWeight, FleetCondition};
 use crate::config::ControllerConfig;
-use crate::host::EndpointId;
+use crate::host::{EndpointId, RequestClassSet};
 use crate::time::Moment;
 use std::collections::BTreeMap;
 
@@ -177,27 +177,33 @@
     candidates.map(|candidate| candidate.capacity() * candidate.slow_start_factor).sum()
 }
 
-/// The table that a proxy belongs to.
+/// A table that a proxy belongs to.
 pub(super) struct TablePlacement {
     pub(super) number: u32,
     pub(super) home_zone: Option<u32>,
+    /// The request classes that the proxy uses the table for.
+    pub(super) classes: RequestClassSet,
 }
 
-/// Selects the table for a proxy. Each zone has its own tables if cross-zone requests have a cost or are not
+/// Selects the tables for a proxy. Each zone has its own tables if cross-zone requests have a cost or are not
 /// allowed.
-pub(super) fn table_for(
+pub(super) fn placements(
     proxy: u32,
     zone: u32,
     config: &ControllerConfig,
     endpoints: &EndpointRegistry,
     limits: &ChannelLimits,
-) -> TablePlacement {
+) -> Vec<TablePlacement> {
     let is_zoned = config.has_cross_zone_costs || has_zone_local_class(config);
     // A single table is used if it could hold a fleet of twice the size.
     let is_whole_fleet = endpoints.len() > 0 && endpoints.len() <= limits.max_table_size / 2;
     let arc = if is_whole_fleet { 0 } else { proxy % ARCS_PER_ZONE };
     let group = if is_zoned { 1 + zone } else { 0 };
-    TablePlacement { number: group * ARCS_PER_ZONE + arc, home_zone: is_zoned.then_some(zone) }
+    vec![TablePlacement {
+        number: group * ARCS_PER_ZONE + arc,
+        home_zone: is_zoned.then_some(zone),
+        classes: RequestClassSet::ALL,
+    }]
 }
 
 fn has_zone_local_class(config: &ControllerConfig) -> bool {
--- a/src/controller/test_support.rs
+++ b/src/controller/test_support.rs
@@ -11,8 +11,8 @@
     let config = ControllerConfig { max_pushes: 0, message_overhead_lines, ..config() };
     let mut controller = running_controller(config, &ids, 30);
     for proxy in controller.proxies.joined.values_mut() {
-        proxy.is_assigned = true;
-        proxy.receives_updates = true;
+        proxy.assignments[0].is_assigned = true;
+        proxy.assignments[0].receives_updates = true;
     }
     controller
 }
--- a/src/testing.rs
+++ b/src/testing.rs
@@ -12,7 +12,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Command {
     SetWeight { table: u32, endpoint: EndpointId, weight: f64 },
-    AssignTable { proxy: u32, table: u32 },
+    AssignTable { proxy: u32, table: u32, classes: RequestClassSet },
     Eject(EndpointId),
     Restore(EndpointId),
     Forget(EndpointId),
@@ -27,8 +27,9 @@
     Command::SetWeight { table, endpoint: endpoint.into(), weight }
 }
 
+/// Assigns a table to a proxy for all request classes.
 pub fn assign_table(proxy: u32, table: u32) -> Command {
-    Command::AssignTable { proxy, table }
+    Command::AssignTable { proxy, table, classes: RequestClassSet::ALL }
 }
 
 pub fn eject(endpoint: &str) -> Command {
@@ -102,7 +103,7 @@
     /// The tables that were assigned to a proxy, in order.
     pub fn tables_of(&self, proxy: u32) -> Vec<u32> {
         let table = |command: &Command| match command {
-            Command::AssignTable { proxy: p, table } if *p == proxy => Some(*table),
+            Command::AssignTable { proxy: p, table, .. } if *p == proxy => Some(*table),
             _ => None,
         };
         self.commands.iter().filter_map(table).collect()
@@ -113,8 +114,8 @@
     fn set_endpoint_weight(&mut self, table: u32, endpoint: &EndpointId, weight: f64) {
         self.commands.push(set_weight(table, endpoint, weight));
     }
-    fn assign_table(&mut self, proxy: u32, table: u32) {
-        self.commands.push(assign_table(proxy, table));
+    fn assign_table(&mut self, proxy: u32, table: u32, classes: RequestClassSet) {
+        self.commands.push(Command::AssignTable { proxy, table, classes });
     }
     fn eject_endpoint(&mut self, endpoint: &EndpointId) {
         self.commands.push(eject(endpoint));
