A class that keeps to its zone has its own tables and leaves the other classes the fleet

Where one class of several must not leave its zone (staysLocal) and a zone loses its endpoints, its proxies had no endpoint for any class, 10 s instead of 2.3 s, with 18 warm endpoints elsewhere open to the other classes.

Cause: desired_weights dropped the endpoints of other zones for the whole table as soon as any class was zone-local, and a proxy had one table for all classes. The record shows the four removals and no other command; queue, relay and list were not in the way.

Change: zone-local classes and all others form two groups with tables of their own; a proxy is assigned to both, by class. A removal counts a line in each table, a message that changes both one overhead, levels go with their class. Each assignment waits by itself, and one that a zone without endpoints can't have no longer holds back ordinary changes.

--- a/control-plane/src/command_batch/tests.rs
+++ b/control-plane/src/command_batch/tests.rs
@@ -34,6 +34,12 @@
     assert_eq!(first_batch([admission(), admission(), admission()]), (2, false));
 }
 
+/// A proxy with a table for each of two class groups is to get both in one message.
+#[test]
+fn the_assignments_of_a_proxy_stay_in_one_batch_where_possible() {
+    assert_eq!(first_batch([assignment(1), assignment(2), assignment(2)]), (1, false));
+}
+
 #[test]
 fn each_batch_repeats_the_acknowledgement_request() {
     let kinds = [assignment(1), assignment(2), assignment(3), CommandKind::AcknowledgementRequest];
--- a/control-plane/tests/sockets/commands.rs
+++ b/control-plane/tests/sockets/commands.rs
@@ -1,6 +1,9 @@
 //! The commands that are sent to the relay, and the handling of commands whose call fails.
 
-use crate::support::{endpoint_entry, wait_for, RelayBehavior, Testbed};
+use crate::support::{
+    config_with_peers, endpoint_entry, wait_for, ControlPlane, FakeEndpointList, FakeRelay, RelayBehavior,
+    Testbed,
+};
 use serde_json::{json, Value};
 
 #[test]
@@ -15,6 +18,33 @@
     assert_eq!(relay.next_command("attach"), json!({"op": "attach", "node": 7, "table": table}));
 }
 
+/// Guards against a table for all classes that holds only the zone of its proxies because one class must not
+/// leave it: the other classes would have no endpoint without those of the zone.
+#[test]
+fn a_class_that_must_not_leave_its_zone_is_assigned_a_table_of_its_own() {
+    let (list, relay) = (FakeEndpointList::start(&[]), FakeRelay::start());
+    let mut in_south = endpoint_entry("b", "active");
+    in_south["site"] = json!("south");
+    list.publish(&[endpoint_entry("a", "active"), in_south], &[]);
+    let mut config = config_with_peers(list.address, relay.address);
+    config["settings"]["familyInfo"]["staysLocal"] = json!([true, false]);
+    let control_plane = ControlPlane::start_with(&config);
+    control_plane.wait_for_status(r#""servers":2,"#);
+    relay.join_proxy(7);
+    let mut commands = Vec::new();
+    wait_for("the assignments", || {
+        commands.extend(relay.next_call());
+        commands.iter().any(|command| command["op"] == "attach").then_some(())
+    });
+    let endpoints_for = |class: &str| -> Vec<&str> {
+        let is_attach = |command: &&Value| command["op"] == "attach" && command["routes"] == json!([class]);
+        let table = &commands.iter().find(is_attach).unwrap()["table"];
+        let is_put = |command: &&Value| command["op"] == "put" && command["table"] == *table;
+        commands.iter().filter(is_put).filter_map(|command| command["endpoint"].as_str()).collect()
+    };
+    assert_eq!((endpoints_for("quote"), endpoints_for("hold")), (vec!["a"], vec!["a", "b"]));
+}
+
 #[test]
 fn a_draining_endpoint_gets_weight_zero_and_is_ejected() {
     let Testbed { list, relay, control_plane: _control_plane } = Testbed::start_with_proxy();
--- a/simulator-adapter/src/adapter/tests.rs
+++ b/simulator-adapter/src/adapter/tests.rs
@@ -118,6 +118,25 @@
     assert!(host.encoded_commands.is_empty());
 }
 
+#[test]
+fn an_assignment_names_its_classes_unless_it_is_for_all() {
+    use otterwinch::host::{Host, RequestClassSet};
+    let mut adapter = adapter_with_endpoints(&["a:1"]);
+    adapter
+        .handle_line(br#"{"kind":"STREAM_UP","who":3,"px":41,"campus":0,"weight":6.5,"set":true}"#)
+        .unwrap();
+    let host = adapter.instances.get_mut(&3).unwrap().host_mut();
+    host.encoded_commands.clear();
+    host.assign_table(41, 0, RequestClassSet::ALL);
+    host.assign_table(41, 1, [0, 2].into_iter().collect());
+    let commands = String::from_utf8(std::mem::take(&mut host.encoded_commands)).unwrap();
+    let for_classes: Vec<Value> = commands
+        .lines()
+        .map(|line| serde_json::from_str::<Value>(line).unwrap()["forClasses"].clone())
+        .collect();
+    assert_eq!(for_classes, [0, 0b101]);
+}
+
 #[test]
 fn a_stopped_instance_is_removed() {
     let mut adapter = adapter_with_endpoints(&["a:1"]);
--- a/src/config.rs
+++ b/src/config.rs
@@ -1,5 +1,6 @@
 //! The configuration of a controller, read once at its start: properties and limits of the deployment.
 
+use crate::host::RequestClassSet;
 use crate::time::Span;
 
 /// The properties of a request class that the controller uses.
@@ -15,6 +16,15 @@
     pub writes: bool,
 }
 
+/// Request classes that the same endpoints are open to, so that a proxy needs one route table for them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RequestClassGroup {
+    /// The classes of the group.
+    pub classes: RequestClassSet,
+    /// Whether requests of these classes must not leave the zone of their proxy.
+    pub zone_local: bool,
+}
+
 /// How the proxies interpret the admission level that a command sets.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum AdmissionMode {
@@ -77,6 +87,22 @@
 }
 
 impl ControllerConfig {
+    /// The groups of request classes that need route tables of their own: the zone-local classes, then all
+    /// others. A deployment in which all classes are alike has one group.
+    pub fn request_class_groups(&self) -> Vec<RequestClassGroup> {
+        let positions = 0..self.request_classes.len();
+        let (zone_local, unrestricted): (Vec<usize>, Vec<usize>) =
+            positions.partition(|position| self.request_classes[*position].zone_local);
+        if zone_local.is_empty() || unrestricted.is_empty() {
+            let zone_local = !zone_local.is_empty();
+            return vec![RequestClassGroup { classes: RequestClassSet::ALL, zone_local }];
+        }
+        vec![
+            RequestClassGroup { classes: zone_local.into_iter().collect(), zone_local: true },
+            RequestClassGroup { classes: unrestricted.into_iter().collect(), zone_local: false },
+        ]
+    }
+
     /// The lines that the channel can deliver to the proxies within the drain grace.
     pub fn lines_within_grace(&self) -> f64 {
         (self.drain_grace - self.max_transit).as_secs() * self.channel_rate
--- a/src/controller/assignment.rs
+++ b/src/controller/assignment.rs
@@ -37,10 +37,16 @@
 
 impl<H: Host> Controller<H> {
     /// Whether assignments take priority over ordinary weight changes, because so many endpoints are draining
-    /// or removed that stale tables may soon hold no ready endpoint.
+    /// or removed that stale tables may soon hold no ready endpoint. Assignments to tables that can't hold one
+    /// either don't count.
     pub(super) fn assignments_take_priority(&self) -> bool {
         let unready = self.endpoints.unready_count() as f64;
-        unready > self.endpoints.len() as f64 * ASSIGNMENT_PRIORITY_FRACTION && self.proxies.any_unassigned()
+        unready > self.endpoints.len() as f64 * ASSIGNMENT_PRIORITY_FRACTION
+            && self
+                .proxies
+                .unassigned_tables()
+                .iter()
+                .any(|table| self.tables.can_hold_ready_endpoint(*table, &self.endpoints))
     }
 
     /// Makes the waiting assignments that are eligible. Those of proxies that still use their initial table
--- a/src/controller/assignment/tests.rs
+++ b/src/controller/assignment/tests.rs
@@ -1,6 +1,6 @@
 use crate::controller::channel::ChannelLimits;
-use crate::host::{EndpointState, Timer};
-use crate::testing::{assign_table, at, config, running_controller, Command};
+use crate::host::{EndpointState, EndpointUpdate, Timer};
+use crate::testing::{assign_table, at, config, ready, removed, running_controller, Command};
 
 #[test]
 fn an_assignment_waits_for_a_usable_endpoint() {
@@ -52,6 +52,22 @@
     assert_eq!((controller.host.tables_of(4).len(), controller.host.weight(0, "c")), (1, None));
 }
 
+/// Guards against changes that wait for an assignment which can't be made: that of a proxy to the table of a
+/// zone-local class, in a zone that has lost its endpoints.
+#[test]
+fn a_zone_without_endpoints_does_not_hold_back_ordinary_changes() {
+    let mut config = config();
+    config.request_classes[1].zone_local = true;
+    let mut controller = running_controller(config, &["a", "b", "c"], 1);
+    controller.endpoints_updated(at(1.0), &[removed("c")]);
+    controller.proxy_joined(at(2.0), 4, 9, 10.0, false);
+    controller.issue_commands(at(2.2));
+    assert_eq!(controller.host.tables_of(4).len(), 1, "assigned for the other class only");
+    controller.host.commands.clear();
+    controller.endpoints_updated(at(4.0), &[EndpointUpdate { weight: 3.0, ..ready("b") }]);
+    assert_eq!(controller.host.weight(0, "b"), Some(3.0));
+}
+
 #[test]
 fn a_proxy_that_joins_again_is_assigned_again() {
     let mut controller = running_controller(config(), &["a"], 1);
--- a/src/controller/channel.rs
+++ b/src/controller/channel.rs
@@ -149,7 +149,7 @@
     let mut by_lines = f64::INFINITY;
     if config.channel_rate * config.max_queued_lines > 0.0 {
         let lines_per_proxy = removal_lines(config) / 2.0 / proxies - config.message_overhead_lines;
-        by_lines = lines_per_proxy / SIMULTANEOUS_REMOVALS_FRACTION;
+        by_lines = lines_per_proxy / tables_per_proxy(config) / SIMULTANEOUS_REMOVALS_FRACTION;
     }
     let connections = f64::from(config.min_endpoint_connections) * endpoints.ready().count() as f64 / proxies;
     let by_connections = if connections > 0.0 { connections } else { f64::INFINITY };
@@ -157,9 +157,14 @@
     by_lines.min(by_connections).max(initial) as usize
 }
 
+/// The number of tables that each proxy is assigned to, and so the most lines that a removal takes at one.
+fn tables_per_proxy(config: &ControllerConfig) -> f64 {
+    config.request_class_groups().len() as f64
+}
+
 fn max_ordinary_lines(config: &ControllerConfig, largest_table: usize) -> f64 {
-    let removals_per_table = largest_table as f64 * SIMULTANEOUS_REMOVALS_FRACTION;
-    let reserved = f64::from(config.proxy_count) * (config.message_overhead_lines + removals_per_table);
+    let removals = largest_table as f64 * SIMULTANEOUS_REMOVALS_FRACTION * tables_per_proxy(config);
+    let reserved = f64::from(config.proxy_count) * (config.message_overhead_lines + removals);
     let in_transit = (config.max_transit * ORDINARY_QUEUE_TRANSITS).as_secs() * config.channel_rate;
     let minimum = config.max_queued_lines * MAX_QUEUE_FRACTION * MIN_ORDINARY_QUEUE_FRACTION;
     (removal_lines(config) / REMOVALS_GRACE_FRACTION - reserved).min(in_transit).max(minimum)
--- a/src/controller/channel/tests.rs
+++ b/src/controller/channel/tests.rs
@@ -52,6 +52,19 @@
     assert!(assigned as f64 * 7.0 <= max_lines && (assigned + 1) as f64 * 7.0 > max_lines);
 }
 
+/// With a zone-local class each proxy has two tables, and an endpoint of its zone is removed from both.
+#[test]
+fn tables_are_smaller_where_a_removal_takes_a_line_in_each_of_two() {
+    let one_table = ControllerConfig { proxy_count: 30, initial_table_size: 1, ..config() };
+    let mut two_tables = one_table.clone();
+    two_tables.request_classes[1].zone_local = true;
+    let [one, two] = [one_table, two_tables].map(|config| {
+        let controller = running_controller(config, &["a"], 0);
+        ChannelLimits::new(&controller.config, &controller.endpoints).max_table_size
+    });
+    assert_eq!(two, one / 2);
+}
+
 #[test]
 fn a_configuration_without_limits_defers_nothing() {
     let unlimited = ControllerConfig {
--- a/src/controller/proxies.rs
+++ b/src/controller/proxies.rs
@@ -7,7 +7,7 @@
 use super::routing::TablePlacement;
 use crate::host::RequestClassSet;
 use crate::time::Moment;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A joined proxy.
 pub(super) struct Proxy {
@@ -79,7 +79,7 @@
         let former = self.joined.get(&proxy);
         let assignment = |placement: &TablePlacement| TableAssignment {
             table: placement.number,
-            classes: placement.classes,
+            classes: placement.request_classes.classes,
             is_assigned: false,
             // A proxy that joins again without having left may still have its table. Until it is assigned
             // again, changes of that table still reach it.
@@ -131,6 +131,12 @@
         self.joined.values().any(|proxy| !proxy.is_assigned())
     }
 
+    /// The tables that some joined proxy is not assigned to yet although it belongs to them.
+    pub(super) fn unassigned_tables(&self) -> BTreeSet<u32> {
+        let assignments = self.joined.values().flat_map(|proxy| &proxy.assignments);
+        assignments.filter(|assignment| !assignment.is_assigned).map(|assignment| assignment.table).collect()
+    }
+
     /// The total usual request rate of all joined proxies, in requests per second.
     pub(super) fn joined_request_rate(&self) -> f64 {
         self.joined.values().map(|proxy| proxy.rate).sum::<f64>()
--- a/src/controller/publication.rs
+++ b/src/controller/publication.rs
@@ -83,14 +83,19 @@
         change.is_urgent && self.positions[&change.id] < size
     }
 
-    /// The lines that a batch of `size` endpoints takes, summed over all receivers.
+    /// The lines that a batch of `size` endpoints takes, summed over all receivers. A receiver of changes in
+    /// several tables gets one message.
     fn cost(&self, size: usize, pending: &[TableChanges], message_overhead: f64) -> f64 {
-        let table_cost = |table: &TableChanges| {
-            let lines = table.changes.iter().filter(|change| self.would_include(change, size)).count() as f64;
-            let message = if lines > 0.0 { message_overhead + lines } else { 0.0 };
-            table.receivers.len() as f64 * message
-        };
-        pending.iter().map(table_cost).sum::<f64>()
+        let mut lines = 0;
+        let mut receivers = BTreeSet::<u32>::new();
+        for table in pending {
+            let changes = table.changes.iter().filter(|change| self.would_include(change, size)).count();
+            if changes > 0 {
+                lines += changes * table.receivers.len();
+                receivers.extend(&table.receivers);
+            }
+        }
+        lines as f64 + receivers.len() as f64 * message_overhead
     }
 
     /// Retains the urgent changes that are sent now and the first `max_ordinary` ordinary ones.
@@ -175,13 +180,7 @@
 
     fn routing_snapshot(&self, now: Moment, limits: &ChannelLimits) -> RoutingSnapshot {
         let rates_by_zone = self.proxies.rates_by_zone();
-        self.tables.snapshot(
-            self.candidates(now),
-            self.fleet_condition(),
-            rates_by_zone,
-            &self.config,
-            limits,
-        )
+        self.tables.snapshot(self.candidates(now), self.fleet_condition(), rates_by_zone, limits)
     }
 
     fn table_changes(
--- a/src/controller/publication/tests.rs
+++ b/src/controller/publication/tests.rs
@@ -26,6 +26,17 @@
     assert_eq!(controller.host.commands, [set_weight(0, "a", 0.0), eject("a")]);
 }
 
+#[test]
+fn a_removal_from_both_tables_of_a_proxy_is_recorded_as_one_message() {
+    let mut config = ControllerConfig { message_overhead_lines: 3.0, ..config() };
+    config.request_classes[1].zone_local = true;
+    let mut controller = running_controller(config, &["a", "b"], 1);
+    let recorded = controller.channel.backlog.recorded_lines;
+    controller.endpoints_updated(at(1.1), &[draining("a")]);
+    assert_eq!((controller.host.weight_count(), controller.host.ejections()), (2, vec![eject("a")]));
+    assert_eq!(controller.channel.backlog.recorded_lines - recorded, 3.0 + 2.0);
+}
+
 #[test]
 fn a_returning_endpoint_is_restored_with_its_weight() {
     let mut controller = running_controller(config(), &["a", "b"], 1);
@@ -89,7 +100,8 @@
 #[test]
 fn admission_commands_never_allow_retries() {
     let mut controller = running_controller(config(), &["a"], 0);
-    controller.tables.by_number.insert(0, RouteTable::new(None));
+    let all_classes = controller.config.request_class_groups()[0];
+    controller.tables.by_number.insert(0, RouteTable::new(None, all_classes));
     let limits = ChannelLimits::new(&controller.config, &controller.endpoints);
     let no_changes = TableChanges { table: 0, receivers: Vec::new(), changes: Vec::new() };
     controller.send_changes(at(1.0), &limits, no_changes, true);
--- a/src/controller/routing.rs
+++ b/src/controller/routing.rs
@@ -1,22 +1,25 @@
 //! Routing: which endpoints a route table should hold, and how much of the traffic leaves the home zone.
 //!
 //! Publication gets the desired weights of every table from here. One table serves all proxies, or all
-//! proxies of a zone if cross-zone requests have a cost or are not allowed. A table holds the whole fleet as
-//! long as the channel can notify all proxies of a change in time; a larger fleet is placed on a hash ring,
-//! and each of several tables holds an arc of it.
+//! proxies of a zone if cross-zone requests have a cost. A table holds the whole fleet as long as the channel
+//! can notify all proxies of a change in time; a larger fleet is placed on a hash ring, and each of several
+//! tables holds an arc of it. Request classes whose requests must not leave their zone have tables of their
+//! own, with the endpoints of one zone, so that the other classes may use the whole fleet.
 
 use super::candidate::Candidate;
 use super::channel::ChannelLimits;
 use super::endpoints::EndpointRegistry;
 use super::outliers;
 use super::slow_start::{slow_start_factor, slow_start_weights, EndpointWeight, FleetCondition};
-use crate::config::ControllerConfig;
-use crate::host::{EndpointId, RequestClassSet};
+use crate::config::{ControllerConfig, RequestClassGroup};
+use crate::host::EndpointId;
 use crate::time::Moment;
 use std::collections::BTreeMap;
 
 /// The number of arcs of the ring, and so of tables per zone, if no table may hold the whole fleet.
 const ARCS_PER_ZONE: u32 = 16;
+/// Added to the numbers of the tables for zone-local request classes, beyond the numbers of all others.
+const ZONE_LOCAL_TABLES_OFFSET: u32 = 1 << 15;
 /// One in this many entries of a table is reserved for endpoints of other zones.
 const REMOTE_ENDPOINTS_DIVISOR: usize = 4;
 /// An arc keeps an endpoint that it holds until the endpoint is beyond either end by more than the arc's
@@ -35,6 +38,8 @@
 pub(super) struct RouteTable {
     /// The zone of its proxies; `None` if the table serves all zones.
     pub(super) home_zone: Option<u32>,
+    /// The request classes that its proxies use it for.
+    request_classes: RequestClassGroup,
     /// The published weights.
     pub(super) weights: BTreeMap<EndpointId, f64>,
     /// The published admission level of each request class.
@@ -50,9 +55,10 @@
 
 impl RouteTable {
     /// Creates an empty table.
-    pub(super) fn new(home_zone: Option<u32>) -> Self {
+    pub(super) fn new(home_zone: Option<u32>, request_classes: RequestClassGroup) -> Self {
         RouteTable {
             home_zone,
+            request_classes,
             weights: BTreeMap::new(),
             admission_levels: BTreeMap::new(),
             remote_factor: 1.0,
@@ -75,24 +81,29 @@
         }
     }
 
-    /// Records a published admission level; returns whether it differs from the one published before.
+    /// Records a published admission level of a class that the table serves; returns whether it differs from
+    /// the one published before. Levels of other classes are ignored.
     pub(super) fn publish_admission_level(&mut self, class: usize, level: f64) -> bool {
-        self.admission_levels.insert(class, level) != Some(level)
+        self.request_classes.classes.contains(class)
+            && self.admission_levels.insert(class, level) != Some(level)
     }
 
-    /// The weights that the table should have: endpoints of the home zone at their own weight and remote ones
-    /// scaled by the remote factor, as many as the table may hold. Without a home zone, all endpoints count
-    /// as remote and the factor is 1.
+    /// Whether the table's request classes may use the endpoints of a zone.
+    pub(super) fn may_use_zone(&self, zone: u32) -> bool {
+        !self.request_classes.zone_local || self.home_zone == Some(zone)
+    }
+
+    /// The weights that the table should have: endpoints of the home zone at their own weight and, unless its
+    /// classes are zone-local, remote ones scaled by the remote factor, as many as the table may hold. Without
+    /// a home zone, all endpoints count as remote and the factor is 1.
     pub(super) fn desired_weights(
         &mut self,
         number: u32,
         snapshot: &RoutingSnapshot,
     ) -> BTreeMap<EndpointId, EndpointWeight> {
-        let (home, mut remote): (Vec<&Candidate>, Vec<&Candidate>) =
-            snapshot.candidates.iter().partition(|candidate| self.home_zone == Some(candidate.zone));
-        if snapshot.is_zone_local {
-            remote.clear();
-        }
+        let usable = snapshot.candidates.iter().filter(|candidate| self.may_use_zone(candidate.zone));
+        let (home, remote): (Vec<&Candidate>, Vec<&Candidate>) =
+            usable.partition(|candidate| self.home_zone == Some(candidate.zone));
         let whole_fleet = ZoneCapacity::new(&home, &remote);
         let max = snapshot.max_table_size;
         let reserved = (max / REMOTE_ENDPOINTS_DIVISOR).min(remote.len());
@@ -182,11 +193,11 @@
     pub(super) number: u32,
     pub(super) home_zone: Option<u32>,
     /// The request classes that the proxy uses the table for.
-    pub(super) classes: RequestClassSet,
+    pub(super) request_classes: RequestClassGroup,
 }
 
-/// Selects the tables for a proxy. Each zone has its own tables if cross-zone requests have a cost or are not
-/// allowed.
+/// Selects the tables for a proxy, one for each group of request classes. Each zone has its own tables if
+/// cross-zone requests have a cost or are not allowed.
 pub(super) fn placements(
     proxy: u32,
     zone: u32,
@@ -194,20 +205,20 @@
     endpoints: &EndpointRegistry,
     limits: &ChannelLimits,
 ) -> Vec<TablePlacement> {
-    let is_zoned = config.has_cross_zone_costs || has_zone_local_class(config);
     // A single table is used if it could hold a fleet of twice the size.
     let is_whole_fleet = endpoints.len() > 0 && endpoints.len() <= limits.max_table_size / 2;
     let arc = if is_whole_fleet { 0 } else { proxy % ARCS_PER_ZONE };
-    let group = if is_zoned { 1 + zone } else { 0 };
-    vec![TablePlacement {
-        number: group * ARCS_PER_ZONE + arc,
-        home_zone: is_zoned.then_some(zone),
-        classes: RequestClassSet::ALL,
-    }]
-}
-
-fn has_zone_local_class(config: &ControllerConfig) -> bool {
-    config.request_classes.iter().any(|class| class.zone_local)
+    let placement = |request_classes: RequestClassGroup| {
+        let is_zoned = config.has_cross_zone_costs || request_classes.zone_local;
+        let offset = if request_classes.zone_local { ZONE_LOCAL_TABLES_OFFSET } else { 0 };
+        let group = if is_zoned { 1 + zone } else { 0 };
+        TablePlacement {
+            number: offset + group * ARCS_PER_ZONE + arc,
+            home_zone: is_zoned.then_some(zone),
+            request_classes,
+        }
+    };
+    config.request_class_groups().into_iter().map(placement).collect()
 }
 
 /// All route tables, by number.
@@ -225,7 +236,9 @@
 
     /// Creates a table if it doesn't exist.
     pub(super) fn create_if_missing(&mut self, placement: &TablePlacement) {
-        self.by_number.entry(placement.number).or_insert_with(|| RouteTable::new(placement.home_zone));
+        self.by_number
+            .entry(placement.number)
+            .or_insert_with(|| RouteTable::new(placement.home_zone, placement.request_classes));
     }
 
     /// Whether any table holds an endpoint.
@@ -233,6 +246,12 @@
         self.by_number.values().any(|table| table.weights.contains_key(id))
     }
 
+    /// Whether any endpoint that a table may hold is ready, so that the table can be published with it.
+    pub(super) fn can_hold_ready_endpoint(&self, number: u32, endpoints: &EndpointRegistry) -> bool {
+        let table = &self.by_number[&number];
+        endpoints.ready().any(|(_, endpoint)| table.may_use_zone(endpoint.zone))
+    }
+
     /// Whether a table holds at least one ready endpoint.
     pub(super) fn has_ready_endpoint(&self, number: u32, endpoints: &EndpointRegistry) -> bool {
         self.by_number[&number].weights.keys().any(|id| endpoints.is_ready(id))
@@ -244,7 +263,6 @@
         mut candidates: Vec<Candidate>,
         fleet: FleetCondition,
         rates_by_zone: BTreeMap<u32, f64>,
-        config: &ControllerConfig,
         limits: &ChannelLimits,
     ) -> RoutingSnapshot {
         candidates.sort_by_cached_key(|candidate| ring_position(&candidate.id, self.ring_seed));
@@ -254,7 +272,6 @@
             candidates,
             rates_by_zone,
             max_table_size: limits.max_table_size,
-            is_zone_local: has_zone_local_class(config),
             fleet,
         }
     }
@@ -276,8 +293,6 @@
     /// The routable capacity of the zones in `rates_by_zone`.
     served_capacity: f64,
     max_table_size: usize,
-    /// Whether requests of some class must not leave their zone.
-    is_zone_local: bool,
     fleet: FleetCondition,
 }
 
--- a/src/testing.rs
+++ b/src/testing.rs
@@ -4,6 +4,7 @@
 use crate::controller::Controller;
 use crate::host::{EndpointId, EndpointState, EndpointUpdate, Host, RequestClassSet, RetryPolicy, Timer};
 use crate::time::{Moment, Span};
+use std::collections::BTreeSet;
 
 /// A controller whose host records its commands.
 pub type TestController = Controller<RecordingHost>;
@@ -85,6 +86,31 @@
         self.count(|command| matches!(command, Command::ScheduleTimer { timer: t, .. } if *t == timer))
     }
 
+    /// The endpoints that a proxy may use for the class at this position, by the commands so far: those in the
+    /// table that it was last assigned for the class. Ejections are not taken into account.
+    pub fn usable_endpoints(&self, proxy: u32, class: usize) -> BTreeSet<&str> {
+        let assigned_table = self.commands.iter().rev().find_map(|command| match command {
+            Command::AssignTable { proxy: p, table, classes } if *p == proxy && classes.contains(class) => {
+                Some(*table)
+            }
+            _ => None,
+        });
+        let mut usable = BTreeSet::new();
+        for command in &self.commands {
+            match command {
+                Command::SetWeight { table, endpoint, weight } if Some(*table) == assigned_table => {
+                    if *weight > 0.0 {
+                        usable.insert(&**endpoint);
+                    } else {
+                        usable.remove(&**endpoint);
+                    }
+                }
+                _ => {}
+            }
+        }
+        usable
+    }
+
     /// The ejections and restorations, in order.
     pub fn ejections(&self) -> Vec<Command> {
         let is_ejection = |command: &&Command| matches!(command, Command::Eject(_) | Command::Restore(_));
