An urgent message goes at once where the limit on messages leaves room for later ones

Cause: Channel::may_push let urgent messages follow each other only up to the third within the window; from then on 10 s / 9 had to pass since the latest message, an ordinary one too, whatever was left of the limit and of the grace. Ruled out: the limit itself, the queue (250 lines of 1,800), the relay, transit.

Change (push_limit.rs): a message goes at once if one more per hold time can still follow within the limit. The hold time is 10 s / 9 as before, at most three quarters of the grace less transit; where the limit does not bear that, nothing is held back. So no urgent message waits for longer than the hold time, whatever came before. What was delayed for other reasons counts from the moment its endpoint stopped being ready.

Test: channel::tests::a_removal_does_not_wait_after_an_ordinary_message_while_the_message_limit_is_far failed before: only a recheck was scheduled. push_limit::tests holds the promise against 80 random courses of 100 s.

--- a/src/channel_backlog.rs
+++ b/src/channel_backlog.rs
@@ -36,7 +36,7 @@
 /// backlog.acknowledged(now, number, 2);
 /// assert_eq!(backlog.queued_lines(now), 8.0);
 /// assert_eq!(backlog.queued_lines(now + Span::from_secs(1.0)), 6.0);
-/// assert_eq!(backlog.recent_messages(now, 1, Span::from_secs(1.0)), (1, Some(now)));
+/// assert_eq!(backlog.recent_messages(now, 1, Span::from_secs(1.0)), [now]);
 /// assert_eq!(backlog.record_resend(now + Span::from_secs(1.0), now), (8.0, Some(2)));
 /// assert_eq!(backlog.queued_lines(now + Span::from_secs(1.0)), 15.0);
 /// ```
@@ -154,11 +154,11 @@
         self.last_activity = now;
     }
 
-    /// The number of messages to a proxy within the window that ends now, and the time of the latest.
-    pub fn recent_messages(&mut self, now: Moment, proxy: u32, window: Span) -> (usize, Option<Moment>) {
+    /// The times of the messages to a proxy within the window that ends now, oldest first.
+    pub fn recent_messages(&mut self, now: Moment, proxy: u32, window: Span) -> &[Moment] {
         let times = self.message_times.entry(proxy).or_default();
         times.retain(|sent| now - *sent <= window);
-        (times.len(), times.back().copied())
+        times.make_contiguous()
     }
 
     /// The number of entries kept in memory: unacknowledged messages and message times.
--- a/src/controller/channel.rs
+++ b/src/controller/channel.rs
@@ -1,5 +1,5 @@
-//! Limits of the channel to the proxies: how many lines may be queued, how many messages each proxy may be
-//! sent, and how large a route table may be so that these limits can be kept.
+//! Limits of the channel to the proxies: how many lines may be queued, and how large a route table may be so
+//! that these limits can be kept. The limit on the messages to each proxy is in `push_limit`.
 //!
 //! Publication, ejection and assignment first check here how many lines may be sent, and record in the
 //! [`ChannelBacklog`] the lines that they sent; `sharding` does neither. The channel is the shared queue of
@@ -8,6 +8,7 @@
 //! when a part of the fleet stops being ready at once.
 
 use super::endpoints::EndpointRegistry;
+use super::push_limit::PushLimit;
 use crate::channel_backlog::ChannelBacklog;
 use crate::config::ControllerConfig;
 use crate::time::{Moment, Span};
@@ -16,11 +17,6 @@
 const MAX_QUEUE_FRACTION: f64 = 0.9;
 /// The lower bound of `max_ordinary_lines`, as a fraction of the usable queue.
 const MIN_ORDINARY_QUEUE_FRACTION: f64 = 0.08;
-/// Ordinary changes are sent to a proxy only if it was sent fewer messages, of any urgency, than this
-/// fraction of its limit.
-const ORDINARY_PUSH_FRACTION: f64 = 0.5;
-/// With fewer messages to a proxy than this in the window, an urgent one may follow immediately.
-const URGENT_BURST: usize = 3;
 /// The upper bound of the queue that ordinary commands may fill: the lines that the channel sends in this
 /// many `max_transit`. That is long enough to keep the channel busy until acknowledgements have returned.
 const ORDINARY_QUEUE_TRANSITS: f64 = 3.0;
@@ -45,7 +41,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Urgency {
     /// As soon as the queue is short.
-    Urgent,
+    Urgent {
+        /// Since when the earliest of the commands has been due.
+        since: Moment,
+    },
     /// Once the queue has space in addition to the part that is reserved for urgent commands.
     Ordinary,
 }
@@ -67,9 +66,8 @@
     max_queued_lines: f64,
     /// The capacity of the channel, in lines per second.
     rate: f64,
-    /// The most messages that a proxy may be sent within `push_window`; 0 means no limit.
-    max_pushes: usize,
-    push_window: Span,
+    /// The limit on the messages to each proxy.
+    push_limit: PushLimit,
 }
 
 impl ChannelLimits {
@@ -87,15 +85,14 @@
             min_message_lines: config.message_overhead_lines + config.request_classes.len() as f64 + 1.0,
             max_queued_lines: config.max_queued_lines,
             rate: config.channel_rate,
-            max_pushes: config.max_pushes as usize,
-            push_window: config.push_window,
+            push_limit: PushLimit::new(config),
         }
     }
 
     /// The queue length up to which commands of this urgency may be sent, in lines.
     pub(super) fn max_lines(&self, urgency: Urgency) -> f64 {
         match urgency {
-            Urgency::Urgent => self.max_urgent_lines,
+            Urgency::Urgent { .. } => self.max_urgent_lines,
             Urgency::Ordinary => self.max_ordinary_lines,
         }
     }
@@ -208,25 +205,16 @@
         (limits.max_lines(urgency) - queued).max(minimum)
     }
 
-    /// Whether a proxy may be sent a message now. A few urgent messages may follow each other immediately;
-    /// further ones are spaced so that their rate stays within the limit.
+    /// Whether the limit on the messages to each proxy permits one to this proxy now.
     fn may_push(&mut self, now: Moment, urgency: Urgency, proxy: u32, limits: &ChannelLimits) -> bool {
-        if limits.max_pushes == 0 {
-            return true;
-        }
-        let (count, latest) = self.backlog.recent_messages(now, proxy, limits.push_window);
-        // A command that is issued at the time of the latest message joins that message.
-        if count == 0 || latest == Some(now) {
+        let push_limit = &limits.push_limit;
+        if !push_limit.is_limited() {
             return true;
         }
+        let sent = self.backlog.recent_messages(now, proxy, push_limit.window());
         match urgency {
-            Urgency::Ordinary => (count as f64) < limits.max_pushes as f64 * ORDINARY_PUSH_FRACTION,
-            Urgency::Urgent => {
-                let spaced_pushes = limits.max_pushes.saturating_sub(URGENT_BURST).max(1);
-                let min_interval = limits.push_window * (1.0 / spaced_pushes as f64);
-                let interval_has_elapsed = latest.is_some_and(|latest| now - latest >= min_interval);
-                count < limits.max_pushes && (count < URGENT_BURST || interval_has_elapsed)
-            }
+            Urgency::Ordinary => push_limit.allows_ordinary(now, sent),
+            Urgency::Urgent { since } => push_limit.allows_urgent(now, since, sent),
         }
     }
 
--- a/src/controller/channel/tests.rs
+++ b/src/controller/channel/tests.rs
@@ -2,7 +2,9 @@
 use crate::channel_backlog::ChannelBacklog;
 use crate::config::ControllerConfig;
 use crate::host::Timer;
-use crate::testing::{at, config, draining, ready_since, running_controller, TestController};
+use crate::testing::{
+    at, config, draining, eject, ready_since, running_controller, set_weight, TestController,
+};
 use crate::time::{Moment, Span};
 
 /// The number of lines that may be sent to proxy 0.
@@ -18,7 +20,7 @@
         controller.channel.backlog.record(at(f64::from(secs)), 0, 1.0, 0.0);
     }
     assert_eq!(available_lines(&mut controller, at(7.0), Urgency::Ordinary), 0.0);
-    assert!(available_lines(&mut controller, at(8.5), Urgency::Urgent) > 0.0);
+    assert!(available_lines(&mut controller, at(8.5), Urgency::Urgent { since: at(8.5) }) > 0.0);
 }
 
 #[test]
@@ -31,13 +33,27 @@
     assert_eq!((controller.host.weight_count(), controller.host.timer_count(Timer::Recheck)), (0, 1));
 }
 
+/// Guards against a pause after every message, however far the limit is: a removal waited for 1.1 s after an
+/// ordinary message. With a short grace and a list that is read late, that was too long.
+#[test]
+fn a_removal_does_not_wait_after_an_ordinary_message_while_the_message_limit_is_far() {
+    let (drain_grace, max_transit) = (Span::from_secs(1.5), Span::from_secs(0.275));
+    let mut controller =
+        running_controller(ControllerConfig { drain_grace, max_transit, ..config() }, &["a", "b"], 1);
+    for secs in 1..=5 {
+        controller.channel.backlog.record(at(f64::from(secs)), 0, 1.0, 0.0);
+    }
+    controller.endpoints_updated(at(5.01), &[draining("a")]);
+    assert_eq!(controller.host.commands, [set_weight(0, "a", 0.0), eject("a")]);
+}
+
 #[test]
 fn a_long_queue_holds_ordinary_changes_back() {
     let mut controller = running_controller(config(), &["a"], 1);
     controller.channel.backlog = ChannelBacklog::default();
     controller.channel.backlog.record(at(2.0), 0, 895.0, 0.0);
     assert!(available_lines(&mut controller, at(2.0), Urgency::Ordinary) < 1.0);
-    assert!(available_lines(&mut controller, at(2.0), Urgency::Urgent) > 4.0);
+    assert!(available_lines(&mut controller, at(2.0), Urgency::Urgent { since: at(2.0) }) > 4.0);
 }
 
 #[test]
--- a/src/controller/ejection.rs
+++ b/src/controller/ejection.rs
@@ -67,7 +67,7 @@
             return false;
         }
         let unassigned = self.proxies.matching(|proxy| !proxy.is_assigned());
-        let available = self.channel.available_lines(now, Urgency::Urgent, &unassigned, limits);
+        let available = self.channel.available_lines(now, Urgency::Urgent { since }, &unassigned, limits);
         let cost = |count| self.ejection_cost(count, limits);
         let count = if is_queue_short { limits.largest_batch(to_eject.len(), available, cost) } else { 0 };
         for id in &to_eject[..count] {
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -25,6 +25,7 @@
 //! | `ejection` | when endpoints that are no longer ready are ejected from proxies with stale tables |
 //! | `assignment` | when a proxy is assigned to its route tables |
 //! | `channel` | how many lines may be queued in the channel |
+//! | `push_limit` | how many messages each proxy may be sent |
 //! | `delivery` | how lost commands and lost acknowledgements are handled |
 //! | `sharding` | which endpoint serves each shard |
 //! | `timers` | which timers are pending |
@@ -41,6 +42,7 @@
 mod outliers;
 mod proxies;
 mod publication;
+mod push_limit;
 mod routing;
 mod sharding;
 mod slow_start;
--- a/src/controller/publication.rs
+++ b/src/controller/publication.rs
@@ -54,6 +54,8 @@
     positions: BTreeMap<EndpointId, usize>,
     /// The number of endpoints whose urgent changes are sent now, counted from position 0.
     size: usize,
+    /// When the endpoint at position 0 was last ready.
+    pending_since: Option<Moment>,
 }
 
 impl UrgentBatch {
@@ -66,8 +68,9 @@
                 ordered.insert((last_ready, change.id.clone()));
             }
         }
+        let pending_since = ordered.first().and_then(|(last_ready, _)| *last_ready);
         let positions = ordered.into_iter().enumerate().map(|(position, (_, id))| (id, position));
-        UrgentBatch { positions: positions.collect(), size: 0 }
+        UrgentBatch { positions: positions.collect(), size: 0, pending_since }
     }
 
     /// Whether all urgent changes are sent now.
@@ -124,7 +127,8 @@
         let receivers = self.proxies.matching(Proxy::receives_updates);
         let mut pending = self.collect_changes(now, limits, &receivers);
         let mut batch = UrgentBatch::new(&pending, &self.endpoints);
-        let available = self.channel.available_lines(now, Urgency::Urgent, &receivers, limits);
+        let urgency = Urgency::Urgent { since: batch.pending_since.unwrap_or(now) };
+        let available = self.channel.available_lines(now, urgency, &receivers, limits);
         let cost = |size| batch.cost(size, &pending, limits.message_overhead);
         let size =
             if is_queue_short { limits.largest_batch(batch.positions.len(), available, cost) } else { 0 };
--- a/src/controller/publication/tests.rs
+++ b/src/controller/publication/tests.rs
@@ -37,6 +37,21 @@
     assert_eq!(controller.channel.backlog.recorded_lines - recorded, 3.0 + 2.0);
 }
 
+/// The grace of a draining endpoint runs on while lost commands are resent.
+#[test]
+fn a_removal_that_waited_for_lost_commands_is_not_held_back_for_the_message_limit() {
+    for (accepted_at, removals) in [(4.0, 1), (2.3, 0)] {
+        let mut controller = running_controller(config(), &["a", "b"], 1);
+        controller.commands_lost(at(2.0), false);
+        controller.endpoints_updated(at(2.0), &[draining("a")]);
+        for message in 0..6 {
+            controller.channel.backlog.record(at(accepted_at - 0.2 + 0.01 * f64::from(message)), 0, 1.0, 0.0);
+        }
+        controller.commands_accepted(at(accepted_at));
+        assert_eq!(controller.host.weight_count(), removals, "accepted at {accepted_at} s");
+    }
+}
+
 #[test]
 fn a_returning_endpoint_is_restored_with_its_weight() {
     let mut controller = running_controller(config(), &["a", "b"], 1);
