After a stall, what has arrived meanwhile is read before overdue timers fire

Cause: as the process goes on, timers are overdue and the list's answer lies in the socket. ControlLoop handles the events in its queue before timers, but the answer is no event until the connection's task and the endpoint watch have run. The evaluation decides on a state that is as old as the stall was long.

Change: where a timer is overdue by more than 0.1 s, the loop waits 10 ms for the other tasks before an iteration, which then takes events and timers at one moment.

Test: endpoint_list::after_a_stall_the_first_call_removes_an_endpoint_that_drained_meanwhile failed before, 3 of 3: the first call had a weight of the warming endpoint alone.

--- a/control-plane/src/control_loop.rs
+++ b/control-plane/src/control_loop.rs
@@ -1,6 +1,6 @@
 //! The task that owns the controller and the clock. Each iteration waits for an event or a timer, passes
 //! everything that is ready to the controller with the same timestamp, and delivers the commands that the
-//! controller issued.
+//! controller issued. After the process was held up, input that has arrived meanwhile is read first.
 
 use crate::clock::Clock;
 use crate::command::{Command, CommandKind};
@@ -13,7 +13,7 @@
 use crate::relay_host::RelayHost;
 use crate::status::{LoopStatus, StatusReporter, SNAPSHOT_INTERVAL};
 use otterwinch::controller::Controller;
-use otterwinch::time::Moment;
+use otterwinch::time::{Moment, Span};
 use slog::{error, Logger};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -22,6 +22,12 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
+/// A timer that is overdue by more than this shows that the process was held up, so that input may be waiting
+/// in the sockets.
+const MAX_TIMER_DELAY: Span = Span::from_us(100_000);
+/// How long the other tasks get to read such input. Each needs only a few polls.
+const CATCH_UP_TIME: Duration = Duration::from_millis(10);
+
 /// The control loop and all state that it owns.
 pub struct ControlLoop {
     controller: RestartableController,
@@ -66,6 +72,7 @@
     pub async fn run(mut self, shutdown: CancellationToken) {
         while !shutdown.is_cancelled() {
             let first_event = self.wait_for_event(&shutdown).await;
+            self.catch_up().await;
             self.run_iteration(first_event).await;
         }
         self.controller.host_mut().set_resend_requested(true);
@@ -86,6 +93,16 @@
         }
     }
 
+    /// If timers are long overdue, lets the other tasks read what has arrived meanwhile first: the timers would
+    /// otherwise act on an outdated state, and what they send would go ahead of more urgent commands.
+    async fn catch_up(&mut self) {
+        let now = self.clock.now();
+        let next_due = self.controller.host_mut().next_timer_due();
+        if next_due.is_some_and(|due| now - due > MAX_TIMER_DELAY) {
+            sleep(CATCH_UP_TIME).await;
+        }
+    }
+
     async fn run_iteration(&mut self, first_event: Option<Event>) {
         let now = self.clock.now();
         self.controller.host_mut().set_now(now);
--- a/control-plane/tests/sockets/endpoint_list.rs
+++ b/control-plane/tests/sockets/endpoint_list.rs
@@ -2,8 +2,12 @@
 //! entries of a response are ignored, and their endpoints keep their last state. An endpoint that is known to
 //! be draining is ejected.
 
-use crate::support::{endpoint_entry, ControlPlane, FakeRelay, ListResponse, Testbed};
+use crate::support::{
+    endpoint_entry, wait_for, ControlPlane, FakeEndpointList, FakeRelay, ListResponse, Testbed,
+};
 use serde_json::{json, Value};
+use std::thread::sleep;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 #[test]
 fn a_silent_list_is_polled_again() {
@@ -206,3 +210,41 @@
 fn a_change_arrives_when_it_is_answered_twice() {
     assert_change_arrives_despite_response(ListResponse::SentTwice);
 }
+
+/// Guards against timers that fire after a stall of the process before what arrived meanwhile is read: an
+/// ordinary change went first, and the removal of the draining endpoint needed a further message.
+#[test]
+fn after_a_stall_the_first_call_removes_an_endpoint_that_drained_meanwhile() {
+    let (list, relay) = (FakeEndpointList::start(&[]), FakeRelay::start());
+    let mut warming_up = endpoint_entry("w", "active");
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    warming_up["born_ms"] = json!(now.as_millis() as u64);
+    let mut entries =
+        ["a", "b", "c", "d", "e", "f", "g", "h"].map(|id| endpoint_entry(id, "active")).to_vec();
+    entries.push(warming_up);
+    list.publish(&entries, &[]);
+    let control_plane = ControlPlane::start(&list, &relay);
+    control_plane.wait_for_status(r#""servers":9,"#);
+    relay.join_proxy(7);
+    relay.next_command("attach");
+    let drain_during_a_stall = || {
+        control_plane.while_suspended(|| {
+            let published = list.publish_changes_to_waiting_poll(&[endpoint_entry("a", "leaving")]);
+            if published {
+                // The evaluation that is due after 1 s at the latest has a new weight for endpoint w.
+                sleep(Duration::from_millis(1_300));
+            }
+            while relay.try_next_call().is_some() {}
+            published.then_some(())
+        })
+    };
+    wait_for("a poll that is open as the process is suspended", drain_during_a_stall);
+    let call = relay.next_call();
+    let weight = |id: &str| {
+        call.iter()
+            .find(|command| command["op"] == "put" && command["endpoint"] == id)
+            .map(|command| command["w"].as_f64().unwrap())
+    };
+    assert_eq!(weight("a"), Some(0.0), "{call:?}");
+    assert!(weight("w").is_some_and(|w| w > 0.0), "an ordinary change was due as well: {call:?}");
+}
--- a/control-plane/tests/sockets/support/endpoint_list.rs
+++ b/control-plane/tests/sockets/support/endpoint_list.rs
@@ -47,6 +47,8 @@
     entries: Vec<Value>,
     /// The changes of the current version. A poll since any older version is sent only these.
     changes: Vec<Value>,
+    /// The number of polls that wait for a change.
+    waiting_polls: usize,
     /// Whether requests are left without a response.
     silent: bool,
     /// Whether polls for changes since a version newer than the current one are rejected.
@@ -107,14 +109,17 @@
 
     fn wait_for_change<'a>(
         &self,
-        state: MutexGuard<'a, ListState>,
+        mut state: MutexGuard<'a, ListState>,
         since: u64,
         timeout: Duration,
     ) -> MutexGuard<'a, ListState> {
         let unchanged = |state: &mut ListState| {
             state.silent || state.version <= since && state.queued_responses.is_empty()
         };
-        self.changed.wait_timeout_while(state, timeout, unchanged).unwrap().0
+        state.waiting_polls += 1;
+        state = self.changed.wait_timeout_while(state, timeout, unchanged).unwrap().0;
+        state.waiting_polls -= 1;
+        state
     }
 }
 
@@ -154,7 +159,21 @@
 
     /// Publishes changes as a new version, but leaves the response to a read of the whole list as it was.
     pub fn publish_changes(&self, changes: &[Value]) {
+        self.publish_changes_to(&mut self.state(), changes);
+    }
+
+    /// Publishes changes like `publish_changes` if a poll is waiting, which is then sent them at once. Returns
+    /// false if none is.
+    pub fn publish_changes_to_waiting_poll(&self, changes: &[Value]) -> bool {
         let mut state = self.state();
+        if state.waiting_polls == 0 {
+            return false;
+        }
+        self.publish_changes_to(&mut state, changes);
+        true
+    }
+
+    fn publish_changes_to(&self, state: &mut ListState, changes: &[Value]) {
         state.version += 1;
         state.changes = changes.to_vec();
         self.shared.changed.notify_all();
