Shutdown test: a connect that crosses the listener's close may be reset, the next is refused

The test connects without a pause; a connect that is being set up while the listener closes is reset by the kernel. The close is the answer that the peer is owed; the test expected too much of the one connect that crosses it.

The test now takes one reset at most, and the connect after it has to be refused while the call is in flight: a listener that still accepted or queued connections fails it as before.

--- a/control-plane/tests/sockets/shutdown.rs
+++ b/control-plane/tests/sockets/shutdown.rs
@@ -102,8 +102,13 @@
     drain_during_a_call(&relay, &list);
     control_plane.send_signal("TERM");
     assert_eq!(control_plane.wait_for_log("shutting down")["signal"], "SIGTERM");
-    let refused = || TcpStream::connect(control_plane.address).err();
-    assert_eq!(wait_for("a refused connection", refused).kind(), ErrorKind::ConnectionRefused);
+    let connect_error = || TcpStream::connect(control_plane.address).err().map(|error| error.kind());
+    let mut error = wait_for("a failed connection", connect_error);
+    if error == ErrorKind::ConnectionReset {
+        // The kernel resets a connection that is being set up at the moment at which the listener closes.
+        error = connect_error().expect("the listener is closed");
+    }
+    assert_eq!(error, ErrorKind::ConnectionRefused);
     relay.release_response();
     // The process was still running when the connection was refused.
     wait_for_ejection(&relay, "b");
