--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -18,10 +18,12 @@
 //! | `outliers` | which endpoints have their weight reduced because of errors or high latency |
 //! | `fleet_load` | whether the fleet is degraded or overloaded |
 //! | `admission` | how much of each request class is admitted |
+//! | `placement` | which route tables a proxy belongs to |
 //! | `slow_start` | the weights of endpoints that are warming up |
 //! | `routing` | which endpoints a route table should hold |
 //! | `changes` | which differences from the published tables are worth sending |
 //! | `publication` | when changes are sent, and in which order |
+//! | `urgent_batch` | which urgent changes go first |
 //! | `ejection` | when endpoints that are no longer ready are ejected from proxies with stale tables |
 //! | `assignment` | when a proxy is assigned to its route tables |
 //! | `channel` | how many lines may be queued in the channel |
@@ -40,6 +42,7 @@
 mod endpoints;
 mod fleet_load;
 mod outliers;
+mod placement;
 mod proxies;
 mod publication;
 mod push_limit;
@@ -49,6 +52,7 @@
 #[cfg(test)]
 mod test_support;
 mod timers;
+mod urgent_batch;
 
 use crate::config::ControllerConfig;
 use crate::host::{EndpointId, EndpointUpdate, Host, Timer};
@@ -148,7 +152,7 @@
     /// means that it still uses the endpoints it selected at random when it started.
     pub fn proxy_joined(&mut self, now: Moment, proxy: u32, zone: u32, rate: f64, has_initial_table: bool) {
         let limits = ChannelLimits::new(&self.config, &self.endpoints);
-        let placements = routing::placements(proxy, zone, &self.config, &self.endpoints, &limits);
+        let placements = placement::placements(proxy, zone, &self.config, &self.endpoints, &limits);
         self.proxies.join(now, proxy, zone, rate, has_initial_table, &placements);
         for placement in &placements {
             self.tables.create_if_missing(placement);
--- a/src/controller/proxies.rs
+++ b/src/controller/proxies.rs
@@ -4,7 +4,7 @@
 //! [`Controller`](super::Controller) records here which proxies join and leave, `assignment` assigns them to
 //! their tables, and `publication` reads the request rates of the zones for routing.
 
-use super::routing::TablePlacement;
+use super::placement::TablePlacement;
 use crate::host::RequestClassSet;
 use crate::time::Moment;
 use std::collections::{BTreeMap, BTreeSet};
--- a/src/controller/publication.rs
+++ b/src/controller/publication.rs
@@ -10,13 +10,13 @@
 use super::admission::RETRY_POLICY;
 use super::changes::{self, TableChanges, WeightChange};
 use super::channel::{ChannelLimits, Urgency};
-use super::endpoints::EndpointRegistry;
 use super::proxies::Proxy;
 use super::routing::RoutingSnapshot;
+use super::urgent_batch::UrgentBatch;
 use super::Controller;
-use crate::host::{EndpointId, Host, RequestClassSet};
+use crate::host::{Host, RequestClassSet};
 use crate::time::{Moment, Span};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 /// The minimum time between the last commands for a table and a message with only ordinary changes.
 const MIN_PUBLICATION_INTERVAL: Span = Span::from_us(1_000_000);
@@ -48,72 +48,6 @@
     }
 }
 
-/// The endpoints with urgent changes, and how many of them are sent now.
-struct UrgentBatch {
-    /// The position of each endpoint in the order in which the endpoints were last ready.
-    positions: BTreeMap<EndpointId, usize>,
-    /// The number of endpoints whose urgent changes are sent now, counted from position 0.
-    size: usize,
-    /// When the endpoint at position 0 was last ready.
-    pending_since: Option<Moment>,
-}
-
-impl UrgentBatch {
-    /// Finds all endpoints with urgent changes; none is included in the batch yet.
-    fn new(pending: &[TableChanges], endpoints: &EndpointRegistry) -> Self {
-        let mut ordered = BTreeSet::new();
-        for change in pending.iter().flat_map(|table| &table.changes) {
-            if change.is_urgent {
-                let last_ready = endpoints.get(&change.id).map(|endpoint| endpoint.last_ready);
-                ordered.insert((last_ready, change.id.clone()));
-            }
-        }
-        let pending_since = ordered.first().and_then(|(last_ready, _)| *last_ready);
-        let positions = ordered.into_iter().enumerate().map(|(position, (_, id))| (id, position));
-        UrgentBatch { positions: positions.collect(), size: 0, pending_since }
-    }
-
-    /// Whether all urgent changes are sent now.
-    fn is_complete(&self) -> bool {
-        self.size == self.positions.len()
-    }
-
-    fn includes(&self, change: &WeightChange) -> bool {
-        self.would_include(change, self.size)
-    }
-
-    fn would_include(&self, change: &WeightChange, size: usize) -> bool {
-        change.is_urgent && self.positions[&change.id] < size
-    }
-
-    /// The lines that a batch of `size` endpoints takes, summed over all receivers. A receiver of changes in
-    /// several tables gets one message.
-    fn cost(&self, size: usize, pending: &[TableChanges], message_overhead: f64) -> f64 {
-        let mut lines = 0;
-        let mut receivers = BTreeSet::<u32>::new();
-        for table in pending {
-            let changes = table.changes.iter().filter(|change| self.would_include(change, size)).count();
-            if changes > 0 {
-                lines += changes * table.receivers.len();
-                receivers.extend(&table.receivers);
-            }
-        }
-        lines as f64 + receivers.len() as f64 * message_overhead
-    }
-
-    /// Retains the urgent changes that are sent now and the first `max_ordinary` ordinary ones.
-    fn retain_sendable(&self, changes: &mut Vec<WeightChange>, max_ordinary: usize) {
-        let mut ordinary = 0;
-        changes.retain(|change| {
-            if change.is_urgent {
-                return self.includes(change);
-            }
-            ordinary += 1;
-            ordinary <= max_ordinary
-        });
-    }
-}
-
 impl<H: Host> Controller<H> {
     /// Publishes the changes that are due and fit into the channel. Returns whether changes were deferred
     /// because they did not fit.
@@ -129,12 +63,7 @@
         let mut batch = UrgentBatch::new(&pending, &self.endpoints);
         let urgency = Urgency::Urgent { since: batch.pending_since.unwrap_or(now) };
         let available = self.channel.available_lines(now, urgency, &receivers, limits);
-        let cost = |size| batch.cost(size, &pending, limits.message_overhead);
-        let size =
-            if is_queue_short { limits.largest_batch(batch.positions.len(), available, cost) } else { 0 };
-        let urgent_lines = if size > 0 { cost(size) } else { 0.0 };
-        batch.size = size;
-
+        let urgent_lines = if is_queue_short { batch.fill(available, &pending, limits) } else { 0.0 };
         let lines_before = self.channel.backlog.recorded_lines + urgent_lines;
         let mut has_deferred = !batch.is_complete();
         let ordinary_due = ordinary_due && batch.is_complete();
--- a/src/controller/routing.rs
+++ b/src/controller/routing.rs
@@ -1,25 +1,21 @@
 //! Routing: which endpoints a route table should hold, and how much of the traffic leaves the home zone.
 //!
-//! Publication gets the desired weights of every table from here. One table serves all proxies, or all
-//! proxies of a zone if cross-zone requests have a cost. A table holds the whole fleet as long as the channel
-//! can notify all proxies of a change in time; a larger fleet is placed on a hash ring, and each of several
-//! tables holds an arc of it. Request classes whose requests must not leave their zone have tables of their
-//! own, with the endpoints of one zone, so that the other classes may use the whole fleet.
+//! Publication gets the desired weights of every table from here. A table holds the whole fleet as long as the
+//! channel can notify all proxies of a change in time; a larger fleet is placed on a hash ring, and each of
+//! several tables holds an arc of it. The table of request classes that must not leave their zone holds the
+//! endpoints of that zone only. Which proxies use a table is decided in `placement`.
 
 use super::candidate::Candidate;
 use super::channel::ChannelLimits;
 use super::endpoints::EndpointRegistry;
 use super::outliers;
+use super::placement::{arc_start, TablePlacement};
 use super::slow_start::{slow_start_factor, slow_start_weights, EndpointWeight, FleetCondition};
 use crate::config::{ControllerConfig, RequestClassGroup};
 use crate::host::EndpointId;
 use crate::time::Moment;
 use std::collections::BTreeMap;
 
-/// The number of arcs of the ring, and so of tables per zone, if no table may hold the whole fleet.
-const ARCS_PER_ZONE: u32 = 16;
-/// Added to the numbers of the tables for zone-local request classes, beyond the numbers of all others.
-const ZONE_LOCAL_TABLES_OFFSET: u32 = 1 << 15;
 /// One in this many entries of a table is reserved for endpoints of other zones.
 const REMOTE_ENDPOINTS_DIVISOR: usize = 4;
 /// An arc keeps an endpoint that it holds until the endpoint is beyond either end by more than the arc's
@@ -154,7 +150,7 @@
             return ring;
         }
         let slack = max.div_ceil(ARC_SLACK_DIVISOR);
-        let start = len * (number % ARCS_PER_ZONE) as usize / ARCS_PER_ZONE as usize;
+        let start = arc_start(number, len);
         let mut arc = Vec::new();
         for (index, candidate) in ring.into_iter().enumerate() {
             let position = (index + len - start) % len;
@@ -188,39 +184,6 @@
     candidates.map(|candidate| candidate.capacity() * candidate.slow_start_factor).sum()
 }
 
-/// A table that a proxy belongs to.
-pub(super) struct TablePlacement {
-    pub(super) number: u32,
-    pub(super) home_zone: Option<u32>,
-    /// The request classes that the proxy uses the table for.
-    pub(super) request_classes: RequestClassGroup,
-}
-
-/// Selects the tables for a proxy, one for each group of request classes. Each zone has its own tables if
-/// cross-zone requests have a cost or are not allowed.
-pub(super) fn placements(
-    proxy: u32,
-    zone: u32,
-    config: &ControllerConfig,
-    endpoints: &EndpointRegistry,
-    limits: &ChannelLimits,
-) -> Vec<TablePlacement> {
-    // A single table is used if it could hold a fleet of twice the size.
-    let is_whole_fleet = endpoints.len() > 0 && endpoints.len() <= limits.max_table_size / 2;
-    let arc = if is_whole_fleet { 0 } else { proxy % ARCS_PER_ZONE };
-    let placement = |request_classes: RequestClassGroup| {
-        let is_zoned = config.has_cross_zone_costs || request_classes.zone_local;
-        let offset = if request_classes.zone_local { ZONE_LOCAL_TABLES_OFFSET } else { 0 };
-        let group = if is_zoned { 1 + zone } else { 0 };
-        TablePlacement {
-            number: offset + group * ARCS_PER_ZONE + arc,
-            home_zone: is_zoned.then_some(zone),
-            request_classes,
-        }
-    };
-    config.request_class_groups().into_iter().map(placement).collect()
-}
-
 /// All route tables, by number.
 pub(super) struct RouteTables {
     pub(super) by_number: BTreeMap<u32, RouteTable>,
--- a/src/controller/routing/tests.rs
+++ b/src/controller/routing/tests.rs
@@ -1,6 +1,7 @@
-use super::{RouteTable, ARCS_PER_ZONE, REMOTE_ENDPOINTS_DIVISOR};
+use super::{RouteTable, REMOTE_ENDPOINTS_DIVISOR};
 use crate::config::ControllerConfig;
 use crate::controller::channel::ChannelLimits;
+use crate::controller::placement::ARCS_PER_ZONE;
 use crate::host::{EndpointUpdate, Timer};
 use crate::testing::{at, config, ready, ready_since, removed, running_controller, Command, TestController};
 use std::collections::BTreeSet;
