--- a/src/controller/admission/tests.rs
+++ b/src/controller/admission/tests.rs
@@ -1,6 +1,6 @@
 use super::MIN_LEVEL;
 use crate::controller::fleet_load::FleetLoad;
-use crate::testing::{at, config, running_controller, TestController};
+use crate::test_support::{at, config, running_controller, TestController};
 use crate::time::Span;
 
 #[test]
--- a/src/controller/assignment/tests.rs
+++ b/src/controller/assignment/tests.rs
@@ -1,6 +1,6 @@
 use crate::controller::channel::ChannelLimits;
 use crate::host::{EndpointState, EndpointUpdate, Timer};
-use crate::testing::{assign_table, at, config, ready, removed, running_controller, Command};
+use crate::test_support::{assign_table, at, config, ready, removed, running_controller, Command};
 
 #[test]
 fn an_assignment_waits_for_a_usable_endpoint() {
--- a/src/controller/changes/tests.rs
+++ b/src/controller/changes/tests.rs
@@ -1,6 +1,6 @@
 use crate::config::ControllerConfig;
 use crate::host::{EndpointState, EndpointUpdate, Timer};
-use crate::testing::{at, config, eject, ready, ready_since, running_controller, set_weight};
+use crate::test_support::{at, config, eject, ready, ready_since, running_controller, set_weight};
 
 #[test]
 fn only_weights_that_differ_are_sent() {
--- a/src/controller/channel/tests.rs
+++ b/src/controller/channel/tests.rs
@@ -2,7 +2,7 @@
 use crate::channel_backlog::ChannelBacklog;
 use crate::config::ControllerConfig;
 use crate::host::Timer;
-use crate::testing::{
+use crate::test_support::{
     at, config, draining, eject, ready_since, running_controller, set_weight, TestController,
 };
 use crate::time::{Moment, Span};
--- a/src/controller/delivery/tests.rs
+++ b/src/controller/delivery/tests.rs
@@ -1,6 +1,8 @@
 use crate::config::ControllerConfig;
 use crate::host::Timer;
-use crate::testing::{at, config, draining, eject, running_controller, schedule_timer, set_weight, Command};
+use crate::test_support::{
+    at, config, draining, eject, running_controller, schedule_timer, set_weight, Command,
+};
 use crate::time::Span;
 
 #[test]
--- a/src/controller/ejection/tests.rs
+++ b/src/controller/ejection/tests.rs
@@ -1,7 +1,7 @@
 use crate::channel_backlog::ChannelBacklog;
 use crate::controller::test_support::running_large_fleet;
 use crate::host::{EndpointState, Timer};
-use crate::testing::{at, config, draining, eject, ready, restore, running_controller};
+use crate::test_support::{at, config, draining, eject, ready, restore, running_controller};
 
 #[test]
 fn a_joined_proxy_that_stays_unassigned_gets_all_ejections() {
--- a/src/controller/endpoints/tests.rs
+++ b/src/controller/endpoints/tests.rs
@@ -1,6 +1,6 @@
 use crate::config::ControllerConfig;
 use crate::host::Timer;
-use crate::testing::{
+use crate::test_support::{
     at, config, eject, forget, ready, removed, restore, running_controller, schedule_timer,
 };
 use crate::time::Span;
--- a/src/controller/outliers/tests.rs
+++ b/src/controller/outliers/tests.rs
@@ -1,5 +1,5 @@
 use super::FAILED_BAND;
-use crate::testing::{at, config, running_controller, TestController};
+use crate::test_support::{at, config, running_controller, TestController};
 use crate::time::Span;
 
 fn ejection_level(controller: &TestController, id: &str) -> usize {
--- a/src/controller/proxies.rs
+++ b/src/controller/proxies.rs
@@ -131,6 +131,19 @@
         self.joined.values().any(|proxy| !proxy.is_assigned())
     }
 
+    /// The proxies that changes of each table are assumed to reach, in ascending order.
+    pub(super) fn receivers_by_table(&self) -> BTreeMap<u32, Vec<u32>> {
+        let mut receivers = BTreeMap::<u32, Vec<u32>>::new();
+        for (number, proxy) in &self.joined {
+            for assignment in &proxy.assignments {
+                if assignment.receives_updates {
+                    receivers.entry(assignment.table).or_default().push(*number);
+                }
+            }
+        }
+        receivers
+    }
+
     /// The tables that some joined proxy is not assigned to yet although it belongs to them.
     pub(super) fn unassigned_tables(&self) -> BTreeSet<u32> {
         let assignments = self.joined.values().flat_map(|proxy| &proxy.assignments);
--- a/src/controller/proxies/tests.rs
+++ b/src/controller/proxies/tests.rs
@@ -1,5 +1,5 @@
 use crate::host::{EndpointUpdate, Timer};
-use crate::testing::{at, config, ready, running_controller};
+use crate::test_support::{at, config, ready, running_controller};
 
 /// When the event stream is reopened, all proxies join again without having left, and the relay continues
 /// to send them the changes of their tables. The lines of these changes must still be recorded.
--- a/src/controller/publication.rs
+++ b/src/controller/publication.rs
@@ -16,7 +16,6 @@
 use super::Controller;
 use crate::host::{Host, RequestClassSet};
 use crate::time::{Moment, Span};
-use std::collections::BTreeMap;
 
 /// The minimum time between the last commands for a table and a message with only ordinary changes.
 const MIN_PUBLICATION_INTERVAL: Span = Span::from_us(1_000_000);
@@ -59,7 +58,7 @@
         is_queue_short: bool,
     ) -> bool {
         let receivers = self.proxies.matching(Proxy::receives_updates);
-        let mut pending = self.collect_changes(now, limits, &receivers);
+        let mut pending = self.collect_changes(now, limits);
         let mut batch = UrgentBatch::new(&pending, &self.endpoints);
         let urgency = Urgency::Urgent { since: batch.pending_since.unwrap_or(now) };
         let available = self.channel.available_lines(now, urgency, &receivers, limits);
@@ -82,21 +81,9 @@
 
     /// Computes the changes of all tables. Returns those of tables with receivers; the others cost no lines
     /// and are sent immediately.
-    fn collect_changes(
-        &mut self,
-        now: Moment,
-        limits: &ChannelLimits,
-        receivers: &[u32],
-    ) -> Vec<TableChanges> {
+    fn collect_changes(&mut self, now: Moment, limits: &ChannelLimits) -> Vec<TableChanges> {
         let snapshot = self.routing_snapshot(now, limits);
-        let mut receivers_by_table = BTreeMap::<u32, Vec<u32>>::new();
-        for proxy in receivers {
-            for assignment in &self.proxies.joined[proxy].assignments {
-                if assignment.receives_updates {
-                    receivers_by_table.entry(assignment.table).or_default().push(*proxy);
-                }
-            }
-        }
+        let mut receivers_by_table = self.proxies.receivers_by_table();
         let mut pending = Vec::new();
         for number in self.tables.by_number.keys().copied().collect::<Vec<_>>() {
             let receivers = receivers_by_table.remove(&number).unwrap_or_default();
--- a/src/controller/publication/tests.rs
+++ b/src/controller/publication/tests.rs
@@ -5,7 +5,7 @@
 use crate::controller::routing::RouteTable;
 use crate::controller::test_support::running_large_fleet;
 use crate::host::{EndpointState, RetryPolicy};
-use crate::testing::{
+use crate::test_support::{
     at, config, draining, eject, ready, ready_since, restore, running_controller, set_weight, Command,
 };
 use crate::time::Span;
--- a/src/controller/push_limit/tests.rs
+++ b/src/controller/push_limit/tests.rs
@@ -1,7 +1,7 @@
 use super::PushLimit;
 use crate::config::ControllerConfig;
 use crate::seeded_rng::SeededRng;
-use crate::testing::{at, config};
+use crate::test_support::{at, config};
 use crate::time::{Moment, Span};
 
 /// A limit of `max_pushes` messages in 10 s. The drain grace exceeds the maximum transit time by
--- a/src/controller/routing/tests.rs
+++ b/src/controller/routing/tests.rs
@@ -3,7 +3,9 @@
 use crate::controller::channel::ChannelLimits;
 use crate::controller::placement::ARCS_PER_ZONE;
 use crate::host::{EndpointUpdate, Timer};
-use crate::testing::{at, config, ready, ready_since, removed, running_controller, Command, TestController};
+use crate::test_support::{
+    at, config, ready, ready_since, removed, running_controller, Command, TestController,
+};
 use std::collections::BTreeSet;
 
 fn in_zone(zone: u32, update: EndpointUpdate) -> EndpointUpdate {
--- a/src/controller/sharding/tests.rs
+++ b/src/controller/sharding/tests.rs
@@ -1,6 +1,6 @@
 use crate::config::ControllerConfig;
 use crate::host::{RequestClassSet, RetryPolicy};
-use crate::testing::{at, config, draining, eject, removed, running_controller, set_weight, Command};
+use crate::test_support::{at, config, draining, eject, removed, running_controller, set_weight, Command};
 
 #[test]
 fn a_shard_whose_endpoint_is_no_longer_ready_gets_another() {
--- a/src/controller/slow_start/tests.rs
+++ b/src/controller/slow_start/tests.rs
@@ -1,6 +1,6 @@
 use super::{slow_start_factor, RAMP_EXPONENT};
 use crate::config::ControllerConfig;
-use crate::testing::{at, config, ready_since, running_controller};
+use crate::test_support::{at, config, ready_since, running_controller};
 
 #[test]
 fn a_new_endpoint_starts_at_a_tenth_of_its_weight() {
--- a/src/controller/test_support.rs
+++ b/src/controller/test_support.rs
@@ -1,7 +1,7 @@
 //! Test helpers that access the private state of the controller.
 
 use crate::config::ControllerConfig;
-use crate::testing::{config, running_controller, TestController};
+use crate::test_support::{config, running_controller, TestController};
 
 /// Returns a running controller with 30 assigned proxies and the endpoints "10" up to but excluding `end`.
 /// With a large `end`, the changes of all endpoints don't fit into the channel at once.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,5 +13,5 @@
 pub mod host;
 pub mod seeded_rng;
 #[cfg(test)]
-mod testing;
+mod test_support;
 pub mod time;
