--- a/control-plane/src/control_loop.rs
+++ b/control-plane/src/control_loop.rs
@@ -93,8 +93,8 @@
         }
     }
 
-    /// If timers are long overdue, lets the other tasks read what has arrived meanwhile first: the timers would
-    /// otherwise act on an outdated state, and what they send would go ahead of more urgent commands.
+    /// If timers are long overdue, lets the other tasks read what has arrived meanwhile first: the timers
+    /// would otherwise act on an outdated state, and what they send would go ahead of more urgent commands.
     async fn catch_up(&mut self) {
         let now = self.clock.now();
         let next_due = self.controller.host_mut().next_timer_due();
--- a/control-plane/tests/sockets/support/endpoint_list.rs
+++ b/control-plane/tests/sockets/support/endpoint_list.rs
@@ -162,8 +162,8 @@
         self.publish_changes_to(&mut self.state(), changes);
     }
 
-    /// Publishes changes like `publish_changes` if a poll is waiting, which is then sent them at once. Returns
-    /// false if none is.
+    /// Publishes changes like `publish_changes` if a poll is waiting, which is then sent them at once.
+    /// Returns false if none is.
     pub fn publish_changes_to_waiting_poll(&self, changes: &[Value]) -> bool {
         let mut state = self.state();
         if state.waiting_polls == 0 {
--- a/src/controller/assignment.rs
+++ b/src/controller/assignment.rs
@@ -3,9 +3,9 @@
 //! [`Controller`] assigns proxies whenever it issues commands, and only if no weight change or ejection was
 //! deferred because it did not fit into the channel. Each assignment of a proxy waits for
 //! [`JOIN_COLLECTION_TIME`] and until its table holds a ready endpoint and it fits into the queue of the
-//! channel; a nearly empty queue accepts an assignment of any size. A proxy that was never assigned waits for a
-//! ready endpoint only up to a timeout and is then assigned its tables as they are. An assignment that is in
-//! effect is not changed.
+//! channel; a nearly empty queue accepts an assignment of any size. A proxy that was never assigned waits for
+//! a ready endpoint only up to a timeout and is then assigned its tables as they are. An assignment that is
+//! in effect is not changed.
 
 use super::channel::{ChannelLimits, Urgency};
 use super::Controller;
@@ -37,8 +37,8 @@
 
 impl<H: Host> Controller<H> {
     /// Whether assignments take priority over ordinary weight changes, because so many endpoints are draining
-    /// or removed that stale tables may soon hold no ready endpoint. Assignments to tables that can't hold one
-    /// either don't count.
+    /// or removed that stale tables may soon hold no ready endpoint. Assignments to tables that can't hold
+    /// one either don't count.
     pub(super) fn assignments_take_priority(&self) -> bool {
         let unready = self.endpoints.unready_count() as f64;
         unready > self.endpoints.len() as f64 * ASSIGNMENT_PRIORITY_FRACTION
--- a/src/controller/delivery.rs
+++ b/src/controller/delivery.rs
@@ -3,8 +3,8 @@
 //! Commands that were lost, or may have been, are resent; only their acknowledgement request may be added or
 //! replaced. No other commands are sent until they are accepted, since commands queued up behind them would
 //! arrive in one burst. If all outstanding acknowledgements are lost while the queue is long, because their
-//! proxies left or the event stream broke, one proxy is assigned to a table of its own again so that it sends a new
-//! acknowledgement.
+//! proxies left or the event stream broke, one proxy is assigned to a table of its own again so that it sends
+//! a new acknowledgement.
 
 use super::channel::{ChannelLimits, Urgency};
 use super::Controller;
@@ -47,8 +47,8 @@
         self.host.schedule_timer(resend_delay, Timer::Resend);
     }
 
-    /// Assigns a randomly chosen proxy to one of its tables again if the queue exceeds the limit for ordinary commands and all
-    /// outstanding acknowledgements must have been lost.
+    /// Assigns a randomly chosen proxy to one of its tables again if the queue exceeds the limit for ordinary
+    /// commands and all outstanding acknowledgements must have been lost.
     pub(super) fn recover_acknowledgements(&mut self, now: Moment, limits: &ChannelLimits) {
         let queued = self.channel.backlog.queued_lines(now);
         let timeout =
--- a/src/controller/placement.rs
+++ b/src/controller/placement.rs
@@ -2,8 +2,8 @@
 //!
 //! [`Controller`](super::Controller) places each proxy as it joins; `proxies` keeps the result and
 //! `assignment` carries it out. A proxy has a table for each group of request classes. One table serves all
-//! proxies, or all proxies of a zone if cross-zone requests have a cost or are not allowed; where no table may
-//! hold the whole fleet, each of several tables holds an arc of a ring of endpoints (`routing`).
+//! proxies, or all proxies of a zone if cross-zone requests have a cost or are not allowed; where no table
+//! may hold the whole fleet, each of several tables holds an arc of a ring of endpoints (`routing`).
 
 use super::channel::ChannelLimits;
 use super::endpoints::EndpointRegistry;
--- a/src/controller/push_limit.rs
+++ b/src/controller/push_limit.rs
@@ -1,16 +1,17 @@
 //! The limit on the messages that one proxy may be sent within a time window, and how urgent and ordinary
 //! messages share it.
 //!
-//! [`Channel`](super::channel::Channel) asks here before each message to a proxy. A message is sent immediately
-//! if the limit also permits one urgent message per hold time after it. So endpoints that stop being ready one
-//! after the other can't use up the limit, and none of their removals waits for longer than the hold time,
-//! which is a part of the drain grace. Ordinary messages moreover leave a part of the limit to urgent ones.
+//! [`Channel`](super::channel::Channel) asks here before each message to a proxy. A message is sent
+//! immediately if the limit also permits one urgent message per hold time after it. So endpoints that stop
+//! being ready one after the other can't use up the limit, and none of their removals waits for longer than
+//! the hold time, which is a part of the drain grace. Ordinary messages moreover leave a part of the limit to
+//! urgent ones.
 
 use crate::config::ControllerConfig;
 use crate::time::{Moment, Span};
 
-/// Ordinary messages are sent to a proxy only if it was sent fewer messages, of any urgency, than this fraction
-/// of the limit.
+/// Ordinary messages are sent to a proxy only if it was sent fewer messages, of any urgency, than this
+/// fraction of the limit.
 const ORDINARY_FRACTION: f64 = 0.5;
 /// The hold time is such that the limit permits this many messages at once and then one per hold time.
 const BURST: usize = 3;
@@ -47,8 +48,8 @@
         self.window
     }
 
-    /// Whether an ordinary message may be sent now. `sent` are the times of the messages within the window that
-    /// ends now, oldest first.
+    /// Whether an ordinary message may be sent now. `sent` are the times of the messages within the window
+    /// that ends now, oldest first.
     pub(super) fn allows_ordinary(&self, now: Moment, sent: &[Moment]) -> bool {
         self.is_free(now, sent)
             || (sent.len() as f64) < self.max_pushes as f64 * ORDINARY_FRACTION
@@ -63,8 +64,8 @@
                 && (now - since >= self.hold_time || self.leaves_room_for_urgent(now, sent))
     }
 
-    /// Whether a message now counts against no limit: there is none, or the message is the first one, or it is
-    /// sent together with the latest one.
+    /// Whether a message now counts against no limit: there is none, or the message is the first one, or it
+    /// is sent together with the latest one.
     fn is_free(&self, now: Moment, sent: &[Moment]) -> bool {
         !self.is_limited() || sent.is_empty() || sent.last() == Some(&now)
     }
--- a/src/controller/routing.rs
+++ b/src/controller/routing.rs
@@ -1,9 +1,9 @@
 //! Routing: which endpoints a route table should hold, and how much of the traffic leaves the home zone.
 //!
-//! Publication gets the desired weights of every table from here. A table holds the whole fleet as long as the
-//! channel can notify all proxies of a change in time; a larger fleet is placed on a hash ring, and each of
-//! several tables holds an arc of it. The table of request classes that must not leave their zone holds the
-//! endpoints of that zone only. Which proxies use a table is decided in `placement`.
+//! Publication gets the desired weights of every table from here. A table holds the whole fleet as long as
+//! the channel can notify all proxies of a change in time; a larger fleet is placed on a hash ring, and each
+//! of several tables holds an arc of it. The table of request classes that must not leave their zone holds
+//! the endpoints of that zone only. Which proxies use a table is decided in `placement`.
 
 use super::candidate::Candidate;
 use super::channel::ChannelLimits;
@@ -90,8 +90,8 @@
     }
 
     /// The weights that the table should have: endpoints of the home zone at their own weight and, unless its
-    /// classes are zone-local, remote ones scaled by the remote factor, as many as the table may hold. Without
-    /// a home zone, all endpoints count as remote and the factor is 1.
+    /// classes are zone-local, remote ones scaled by the remote factor, as many as the table may hold.
+    /// Without a home zone, all endpoints count as remote and the factor is 1.
     pub(super) fn desired_weights(
         &mut self,
         number: u32,
--- a/src/controller/urgent_batch.rs
+++ b/src/controller/urgent_batch.rs
@@ -1,4 +1,5 @@
-//! The urgent changes of all tables: in which order their endpoints are handled, and what a batch of them costs.
+//! The urgent changes of all tables: in which order their endpoints are handled, and what a batch of them
+//! costs.
 //!
 //! `publication` builds a batch whenever it publishes, and sends as many of its endpoints as fit into the
 //! channel. Endpoints that stopped being ready first come first, since their drain grace ends first.
--- a/src/host.rs
+++ b/src/host.rs
@@ -119,8 +119,8 @@
 pub trait Host {
     /// Sets the weight of an endpoint in a route table; weight 0 removes it.
     fn set_endpoint_weight(&mut self, table: u32, endpoint: &EndpointId, weight: f64);
-    /// Assigns a route table to a joined proxy for some request classes, in place of the table that it has for
-    /// them.
+    /// Assigns a route table to a joined proxy for some request classes, in place of the table that it has
+    /// for them.
     fn assign_table(&mut self, proxy: u32, table: u32, classes: RequestClassSet);
     /// Stops all joined proxies from using an endpoint, whichever tables they are assigned.
     fn eject_endpoint(&mut self, endpoint: &EndpointId);
--- a/src/test_support.rs
+++ b/src/test_support.rs
@@ -86,8 +86,8 @@
         self.count(|command| matches!(command, Command::ScheduleTimer { timer: t, .. } if *t == timer))
     }
 
-    /// The endpoints that a proxy may use for the class at this position, by the commands so far: those in the
-    /// table that it was last assigned for the class. Ejections are not taken into account.
+    /// The endpoints that a proxy may use for the class at this position, by the commands so far: those in
+    /// the table that it was last assigned for the class. Ejections are not taken into account.
     pub fn usable_endpoints(&self, proxy: u32, class: usize) -> BTreeSet<&str> {
         let assigned_table = self.commands.iter().rev().find_map(|command| match command {
             Command::AssignTable { proxy: p, table, classes } if *p == proxy && classes.contains(class) => {
