--- a/review/standin-2/src/explore.rs
+++ b/review/standin-2/src/explore.rs
@@ -19,6 +19,12 @@
             dep.proxies = count.parse().unwrap_or(40);
             dep
         }
+        "localmid" => {
+            let mut dep = Deployment::many_gateways();
+            dep.proxies = count.parse().unwrap_or(40);
+            dep.stays_local = "false,true";
+            dep
+        }
         "biggates" => {
             let mut dep = Deployment::gateways();
             dep.servers = 40;
