Add review case 7: a planner that returns cold is pushed over with the rest idle

The case shows that after the loss of a site the first planner that is listed again gets all requests of the site, while four others that are listed within 1.2 s wait 5.7 s for their lines, behind half of the limit on messages. The first one falls over 0.8 s after it was listed.

The cases are numbered anew, the gravest first. The one of calls that are repeated past the message limit is no case any longer, as it loses no work; the stand-in still plays it as `messages`.

--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -1,4 +1,4 @@
-//! The cases, by number.
+//! The cases, by number. `messages` and `explore` are none; the report tells what they showed.
 
 use crate::deployment::Deployment;
 use crate::explore;
@@ -11,6 +11,8 @@
 pub enum Rule {
     /// Joined proxies stop sending to a server within the grace.
     DrainsKept,
+    /// No cold server is pushed over.
+    ColdServersStand,
     /// No proxy is written more messages than the settings allow.
     ShortQueue,
 }
@@ -22,13 +24,14 @@
 }
 
 fn case(name: &str) -> Option<Case> {
-    use Rule::{DrainsKept, ShortQueue};
+    use Rule::{ColdServersStand, DrainsKept, ShortQueue};
     let (deployment, rule, run): (Deployment, Rule, fn(&mut Stage)) = match name {
         "6" => (Deployment::many_gateways(), DrainsKept, fleet_grows),
-        "7" => (Deployment::forwarders(400), DrainsKept, orders_for_proxies_that_left),
-        "8" => (Deployment::gateways(), DrainsKept, resets_before_a_drain),
-        "9" => (Deployment::local_forwarders(), DrainsKept, drain_beside_a_crash),
-        "10" => (Deployment::gateways(), ShortQueue, answers_lost),
+        "7" => (Deployment::local_gateways(), ColdServersStand, zone_returns),
+        "8" => (Deployment::forwarders(400), DrainsKept, orders_for_proxies_that_left),
+        "9" => (Deployment::gateways(), DrainsKept, resets_before_a_drain),
+        "10" => (Deployment::local_forwarders(), DrainsKept, drain_beside_a_crash),
+        "messages" => (Deployment::gateways(), ShortQueue, answers_lost),
         "explore" => (explore::deployment(), DrainsKept, explore::run),
         _ => return None,
     };
@@ -69,7 +72,7 @@
         format!("most messages to a proxy in 10 s {}", world.most_messages),
         format!("most lines waiting {:.0}", world.most_waiting),
         format!("longest time without a line {:.2} s", world.worst_unserved),
-        format!("most load of a cold server {load:.2}"),
+        format!("cold servers pushed over {}, most load of one {load:.2} of the limit", world.fallen),
         format!("longest tick {:.3} s", world.longest_tick),
     ]
     .join("; ");
@@ -81,6 +84,7 @@
     }
     let broken = match rule {
         Rule::DrainsKept => world.late_requests > 0,
+        Rule::ColdServersStand => world.fallen > 0,
         Rule::ShortQueue => world.most_messages > world.dep.messages_most,
     };
     if broken {
@@ -235,3 +239,33 @@
     });
     stage.wait_until(start + 12.0);
 }
+
+/// The servers of a zone are lost for 5 s and return cold. The list tells of each within 1.5 s of its start.
+fn zone_returns(stage: &mut Stage) {
+    let start = stage.now() + 8.0;
+    let zone: Vec<usize> = (0..20).filter(|server| server % 4 == 0).collect();
+    stage.wait_until(start);
+    if !stage.trouble {
+        stage.wait_until(start + 20.0);
+        return;
+    }
+    stage.change(|world| {
+        world.note("the five servers of the first zone die");
+        let now = world.now();
+        zone.iter().for_each(|server| world.servers[*server].runs_until = now);
+    });
+    for (step, server) in zone.iter().enumerate() {
+        stage.wait_until(start + 1.0 + 0.5 * step as f64);
+        stage.change(|world| world.set_health(*server, Health::Left));
+    }
+    stage.wait_until(start + 5.0);
+    stage.change(|world| {
+        world.note("the five servers run again, cold");
+        zone.iter().for_each(|server| world.restart(*server));
+    });
+    for (server, told_after) in zone.iter().zip([0.3, 0.6, 0.9, 1.2, 1.5]) {
+        stage.wait_until(start + 5.0 + told_after);
+        stage.change(|world| world.set_health(*server, Health::Active));
+    }
+    stage.wait_until(start + 20.0);
+}
--- a/review/standin-2/src/deployment.rs
+++ b/review/standin-2/src/deployment.rs
@@ -34,6 +34,13 @@
     pub all_proxies: usize,
     /// The part of the servers' capacity that the requests usually take.
     pub usual_load: f64,
+    /// The part of its capacity at which a server starts; it is warm after `cold_ms`.
+    pub cold_from: f64,
+    /// Sent more than this multiple of its capacity for `overload_ms`, a cold server falls over.
+    pub fall_multiple: f64,
+    pub overload_ms: f64,
+    /// Whether servers do fall over.
+    pub servers_fall: bool,
 }
 
 impl Deployment {
@@ -65,6 +72,10 @@
             removal_not_binding: false,
             all_proxies: 0,
             usual_load: 0.5,
+            cold_from: 0.15,
+            fall_multiple: 4.0,
+            overload_ms: 1500.0,
+            servers_fall: false,
         }
     }
 
@@ -96,6 +107,10 @@
             removal_not_binding: false,
             all_proxies: 0,
             usual_load: 0.5,
+            cold_from: 0.15,
+            fall_multiple: 4.0,
+            overload_ms: 1500.0,
+            servers_fall: false,
         }
     }
 
@@ -123,6 +138,11 @@
         }
     }
 
+    /// Journey searches of which each has to stay in its site.
+    pub fn local_gateways() -> Self {
+        Deployment { stays_local: "true,true", servers_fall: true, ..Deployment::gateways() }
+    }
+
     pub fn settings(&self) -> String {
         let us = |ms: f64| (ms * 1000.0) as u64;
         let zones: Vec<String> = self.zones.iter().map(|zone| format!("\"{zone}\"")).collect();
@@ -133,7 +153,7 @@
 "classes":[{}],"discovery":"push","family":"control",
 "familyInfo":{{"bufferForUs":300000,"channelRate":{:.1},"fixedCost":{:.1},"homedByZone":true,"ingestRate":{}.0,"initialSet":{},"keepsWritingUs":2500000,"minConnCap":{:.1},"mostWaiting":{:.1},"movePrice":0.01,"outlierAfter":{},"propagationUs":{},"proxyCount":{},"pushPrice":0.04,"pushesAllowed":{},"reloadSpanUs":{},"reportEveryUs":1000000,"retryDefault":1,"selectsBy":"random","settleUs":20000,"singleWriter":false,"slices":0,"staysLocal":[{}],"throttleBy":"{}","transitMaxUs":{},"tryFactor":1.2,"unservedMaxUs":{},"warmKeys":false,"writeClasses":[{}]}},
 "goal":{{"whole":0.7,"worstClass":0.1,"worstTenant":0.0,"worstWindow":0.2}},
-"guarantees":{{"askWithinUs":10000000,"coldFrom":0.15,"coldUs":{},"drainGraceUs":{},"fallMultiple":4.0,"overloadForUs":1500000{}}},
+"guarantees":{{"askWithinUs":10000000,"coldFrom":{},"coldUs":{},"drainGraceUs":{},"fallMultiple":{:.1},"overloadForUs":{}{}}},
 "kinds":["m2"],"locality":0,"replicasOfMe":2,"reporting":{{"how":"none","names":[]}},"selfIndex":0,"tickUs":4000,"valueBy":"request","weights":"none","zones":[{}]}}"#,
             self.class_json,
             self.rate,
@@ -152,8 +172,11 @@
             us(self.late_most_ms),
             us(self.unserved_ms),
             writes.join(","),
+            self.cold_from,
             us(self.cold_ms),
             us(self.grace_ms),
+            self.fall_multiple,
+            us(self.overload_ms),
             if self.removal_not_binding { r#","removalNotBinding":true"# } else { "" },
             zones.join(",")
         )
--- a/review/standin-2/src/world.rs
+++ b/review/standin-2/src/world.rs
@@ -42,9 +42,8 @@
     pub told: Option<f64>,
     /// When the supervisor was told of its latest start.
     pub start_told: Option<(u64, f64)>,
-    /// Times of the requests that joined proxies sent to it while the supervisor had known of the start for
-    /// longer than the grace, and the work it may be sent.
-    recent: VecDeque<f64>,
+    /// Times of the latest requests to it, and whether the supervisor is to blame for each.
+    recent: VecDeque<(f64, bool)>,
     pub worst_load: f64,
 }
 
@@ -134,6 +133,8 @@
     pub longest_tick: f64,
     /// Calls whose connection was reset, or that got no answer.
     pub broken_calls: u64,
+    /// Cold servers that fell over through the supervisor's orders.
+    pub fallen: u32,
 }
 
 impl World {
@@ -175,6 +176,7 @@
             limits_from: f64::INFINITY,
             longest_tick: 0.0,
             broken_calls: 0,
+            fallen: 0,
             dep,
         };
         for number in 0..world.dep.servers {
@@ -289,10 +291,15 @@
         self.set_started(number);
     }
 
-    /// The server came up again, or for the first time.
-    pub fn set_started(&mut self, server: usize) {
+    /// The server's process comes up; the list does not tell yet.
+    pub fn restart(&mut self, server: usize) {
         self.servers[server].born_ms = self.unix_ms_at_start + (self.now() * 1000.0) as u64;
         self.servers[server].runs_until = f64::INFINITY;
+    }
+
+    /// The server came up again, or for the first time, and is listed at once.
+    pub fn set_started(&mut self, server: usize) {
+        self.restart(server);
         self.set_health(server, Health::Active);
     }
 
@@ -769,7 +776,7 @@
             self.failed_requests += 1;
         }
         if joined {
-            self.record_load(at);
+            self.record_load(at, number);
         }
         let must_leave = self.servers[at].told.is_some();
         let ran = self.proxies[number].drain_clock.get(&id).copied().unwrap_or(0.0);
@@ -794,35 +801,46 @@
         }
     }
 
-    /// Notes how much of the budget of a cold server a request takes.
-    fn record_load(&mut self, at: usize) {
+    /// Notes how much of what makes a cold server fall over a request brings, and whether the supervisor is to
+    /// blame: the proxy's latest message was written, or the grace has passed, since it was told of the start.
+    fn record_load(&mut self, at: usize, number: usize) {
         let now = self.now();
         let total = self.dep.requests_per_proxy * self.dep.proxies as f64;
         let capacity = total / self.dep.servers as f64 / self.dep.usual_load;
-        let (cold_s, from) = (self.dep.cold_ms / 1000.0, 0.15);
+        let (cold_s, from) = (self.dep.cold_ms / 1000.0, self.dep.cold_from);
+        let (span, multiple) = (self.dep.overload_ms / 1000.0, self.dep.fall_multiple);
         let unix_ms = self.unix_ms_at_start as f64;
-        let grace = self.dep.grace_ms / 1000.0;
+        let last_message = self.proxies[number].messages.last().copied().unwrap_or(0.0);
         let server = &mut self.servers[at];
         let age = now - (server.born_ms as f64 - unix_ms) / 1000.0;
-        let known =
-            server.start_told.is_some_and(|(born, told)| born == server.born_ms && now - told > grace);
-        if age >= cold_s || !known {
+        if age >= cold_s || now >= server.runs_until {
             server.recent.clear();
             return;
         }
-        server.recent.push_back(now);
-        while server.recent.front().is_some_and(|first| now - first > 1.5) {
+        let told = server.start_told.filter(|(born, _)| *born == server.born_ms).map(|(_, told)| told);
+        let blamed = told.is_some_and(|told| {
+            self.proxies[number].joined && (last_message > told || now - told > self.dep.grace_ms / 1000.0)
+        });
+        server.recent.push_back((now, blamed));
+        while server.recent.front().is_some_and(|(first, _)| now - first > span) {
             server.recent.pop_front();
         }
-        let budget = 4.0 * capacity * (from + (1.0 - from) * age / cold_s) * 1.5;
-        let load = server.recent.len() as f64 / budget;
-        if load > server.worst_load {
-            server.worst_load = load;
-            if load > 1.0 && server.recent.len() > 8 {
-                let text =
-                    format!("{} is cold ({age:.1} s) and gets {load:.2} of what makes it fall", server.id);
-                self.note(text);
-            }
+        let sent = server.recent.len() as f64;
+        let blamed = server.recent.iter().filter(|(_, blamed)| *blamed).count() as f64;
+        let limit = multiple * capacity * (from + (1.0 - from) * age / cold_s) * span;
+        if blamed >= sent * 2.0 / 3.0 {
+            server.worst_load = server.worst_load.max(sent / limit);
+        }
+        // A fifth and four requests more than the limit leave room for chance.
+        if sent > limit * 1.2 + 4.0 && self.dep.servers_fall {
+            server.runs_until = now;
+            let text = format!(
+                "{} falls over {age:.1} s after its start: {sent} requests within {span} s, where {limit:.1} are the \
+                 limit; {blamed} of them by proxies that were told to after the supervisor knew of the start",
+                server.id
+            );
+            self.fallen += u32::from(blamed >= sent * 2.0 / 3.0);
+            self.note(text);
         }
     }
 
