Each change has its own deadline; arcs that move on no longer use up the messages

Cause: every removal counted as urgent and as due since `last_ready`, which for an endpoint that is still ready lies far in the past. Removals of endpoints that a ring arc gives up therefore passed as overdue, each 0.3 s, and used up the 12 messages in 10 s; then nothing could be sent for 5.5 s, drains included.

Change: a change or a batch of ejections carries an Urgency: a deadline, where an endpoint stopped being ready or restarted, Prompt, or Ordinary. Only a message with a deadline may be sent without leaving room for later ones, after the hold time. Ejections use the same deadline, which replaces their own record of waiting; the limit is asked for the receivers of the urgent changes alone.

--- a/src/controller/assignment.rs
+++ b/src/controller/assignment.rs
@@ -7,7 +7,8 @@
 //! a ready endpoint only up to a timeout and is then assigned its tables as they are. An assignment that is
 //! in effect is not changed.
 
-use super::channel::{ChannelLimits, Urgency};
+use super::channel::ChannelLimits;
+use super::urgency::Urgency;
 use super::Controller;
 use crate::host::{Host, Timer};
 use crate::time::{Moment, Span};
--- a/src/controller/changes.rs
+++ b/src/controller/changes.rs
@@ -5,12 +5,17 @@
 //! they cost. If a table has no desired weights left, but one of its endpoints that was removed from the
 //! endpoint list answered recently, the table retains its weights for a limited time: a list that drops all
 //! endpoints of a table at once is more likely to be wrong than right.
+//!
+//! Each change carries its urgency. Only what an endpoint did by itself sets a deadline: it stopped being
+//! ready or restarted. A change that follows from a decision of routing, such as an arc that moves on to other
+//! endpoints, can wait.
 
 use super::assignment::ASSIGNMENT_RETRY_INTERVAL;
 use super::channel::ChannelLimits;
-use super::endpoints::EndpointRegistry;
-use super::routing::RouteTable;
+use super::endpoints::{Endpoint, EndpointRegistry};
+use super::routing::{RouteTable, RoutingSnapshot};
 use super::slow_start::EndpointWeight;
+use super::urgency::Urgency;
 use crate::config::ControllerConfig;
 use crate::host::{EndpointId, EndpointState};
 use crate::time::{Moment, Span};
@@ -22,8 +27,7 @@
 /// A weight change of a warm endpoint is sent only if the old and the new weight differ by more than this
 /// factor.
 const MIN_WARM_RATIO: f64 = 1.001;
-/// A cold endpoint whose published weight exceeds the desired one by more than this ratio has restarted, so
-/// the change is urgent.
+/// A cold endpoint whose published weight exceeds the desired one by more than this ratio has restarted.
 const RESTART_RATIO: f64 = 2.0;
 /// A change of a published weight is sent only if the difference exceeds the product of this factor, the mean
 /// desired weight of the table and the seconds that the channel needs to send one line to every receiver.
@@ -41,8 +45,7 @@
     pub(super) id: EndpointId,
     /// The new weight; 0 removes the endpoint.
     pub(super) weight: f64,
-    /// Whether the change is urgent: it removes the endpoint, the endpoint restarted, or the table was empty.
-    pub(super) is_urgent: bool,
+    pub(super) urgency: Urgency,
     /// The absolute difference from the published weight.
     difference: f64,
 }
@@ -52,43 +55,86 @@
     pub(super) table: u32,
     /// The proxies to which the changes are sent.
     pub(super) receivers: Vec<u32>,
-    /// The changes, urgent ones first, then by decreasing difference.
+    /// The changes, ordinary ones last, then by decreasing difference.
     pub(super) changes: Vec<WeightChange>,
 }
 
+/// What the urgency of a change depends on.
+pub(super) struct ChangeContext<'a> {
+    pub(super) endpoints: &'a EndpointRegistry,
+    pub(super) snapshot: &'a RoutingSnapshot,
+    pub(super) config: &'a ControllerConfig,
+}
+
+impl ChangeContext<'_> {
+    /// The urgency of a removal: the drain grace of an endpoint that stopped being ready is running.
+    fn removal_urgency(&self, id: &EndpointId) -> Urgency {
+        match self.endpoints.get(id).and_then(Endpoint::unready_since) {
+            Some(since) => Urgency::within_grace(since, self.config),
+            None if self.snapshot.excludes(id) => Urgency::Prompt,
+            None => Urgency::Ordinary,
+        }
+    }
+
+    /// The urgency of a weight that replaces the published one. An endpoint that has restarted may be
+    /// overloaded by its former weight as soon as proxies use it with knowledge of the restart.
+    fn weight_urgency(
+        &self,
+        table: &RouteTable,
+        id: &EndpointId,
+        published: f64,
+        desired: &EndpointWeight,
+    ) -> Urgency {
+        let has_restarted = !desired.is_warm && published > RESTART_RATIO * desired.weight;
+        match self.endpoints.get(id) {
+            Some(endpoint) if has_restarted => Urgency::within_grace(endpoint.start_listed, self.config),
+            _ if table.weights.is_empty() => Urgency::Prompt,
+            _ => Urgency::Ordinary,
+        }
+    }
+}
+
 /// The changes from the published to the desired weights that are worth sending to this number of receivers.
 pub(super) fn weight_changes(
     table: &RouteTable,
     desired: BTreeMap<EndpointId, EndpointWeight>,
     receiver_count: usize,
     limits: &ChannelLimits,
+    context: &ChangeContext,
 ) -> Vec<WeightChange> {
     let secs_per_line = limits.transmission_secs(receiver_count as f64);
     let sum = desired.values().map(|desired| desired.weight).sum::<f64>();
     let mean = sum / desired.len().max(1) as f64;
     let min_difference = mean * secs_per_line * MIN_DIFFERENCE_PER_SEC;
-    let mut changes = removals(table, &desired);
-    for (id, EndpointWeight { weight, is_warm }) in desired {
+    let mut changes = removals(table, &desired, context);
+    for (id, desired) in desired {
+        let EndpointWeight { weight, is_warm } = desired;
         let published = table.weights.get(&id).copied().unwrap_or(0.0);
         let ratio = (published / weight).max(weight / published);
         let difference = (published - weight).abs();
         let differs = ratio > MIN_WARMING_RATIO || is_warm && ratio > MIN_WARM_RATIO;
         if differs && (difference > min_difference || published == 0.0) {
-            let restarted = !is_warm && published > RESTART_RATIO * weight;
-            let is_urgent = table.weights.is_empty() || restarted;
-            changes.push(WeightChange { id, weight, is_urgent, difference });
+            let urgency = context.weight_urgency(table, &id, published, &desired);
+            changes.push(WeightChange { id, weight, urgency, difference });
         }
     }
-    changes.sort_by(|a, b| b.is_urgent.cmp(&a.is_urgent).then(b.difference.total_cmp(&a.difference)));
+    changes.sort_by(|a, b| {
+        let ordinary_last = a.urgency.is_ordinary().cmp(&b.urgency.is_ordinary());
+        ordinary_last.then(b.difference.total_cmp(&a.difference))
+    });
     changes
 }
 
-fn removals(table: &RouteTable, desired: &BTreeMap<EndpointId, EndpointWeight>) -> Vec<WeightChange> {
+fn removals(
+    table: &RouteTable,
+    desired: &BTreeMap<EndpointId, EndpointWeight>,
+    context: &ChangeContext,
+) -> Vec<WeightChange> {
     let mut removals = Vec::new();
     for (id, published) in &table.weights {
         if !desired.contains_key(id) {
-            let id = id.clone();
-            removals.push(WeightChange { id, weight: 0.0, is_urgent: true, difference: *published });
+            let urgency = context.removal_urgency(id);
+            removals.push(WeightChange { id: id.clone(), weight: 0.0, urgency, difference: *published });
         }
     }
     removals
--- a/src/controller/channel.rs
+++ b/src/controller/channel.rs
@@ -9,6 +9,7 @@
 
 use super::endpoints::EndpointRegistry;
 use super::push_limit::PushLimit;
+use super::urgency::Urgency;
 use crate::channel_backlog::ChannelBacklog;
 use crate::config::ControllerConfig;
 use crate::time::{Moment, Span};
@@ -37,18 +38,6 @@
 /// A queue of fewer lines counts as empty.
 const EMPTY_QUEUE_LINES: f64 = 1.0;
 
-/// How soon a command must be sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Urgency {
-    /// As soon as the queue is short.
-    Urgent {
-        /// Since when the earliest of the commands has been due.
-        since: Moment,
-    },
-    /// Once the queue has space in addition to the part that is reserved for urgent commands.
-    Ordinary,
-}
-
 /// The limits of the channel, computed from the configuration and the current size of the fleet.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ChannelLimits {
@@ -92,7 +81,7 @@
     /// The queue length up to which commands of this urgency may be sent, in lines.
     pub(super) fn max_lines(&self, urgency: Urgency) -> f64 {
         match urgency {
-            Urgency::Urgent { .. } => self.max_urgent_lines,
+            Urgency::Deadline(_) | Urgency::Prompt => self.max_urgent_lines,
             Urgency::Ordinary => self.max_ordinary_lines,
         }
     }
@@ -212,10 +201,7 @@
             return true;
         }
         let sent = self.backlog.recent_messages(now, proxy, push_limit.window());
-        match urgency {
-            Urgency::Ordinary => push_limit.allows_ordinary(now, sent),
-            Urgency::Urgent { since } => push_limit.allows_urgent(now, since, sent),
-        }
+        push_limit.allows(now, urgency, sent)
     }
 
     /// Whether the queue is so long that the proxies should acknowledge the commands that they receive.
--- a/src/controller/channel/tests.rs
+++ b/src/controller/channel/tests.rs
@@ -1,6 +1,7 @@
-use super::{ChannelLimits, Urgency, MAX_QUEUE_FRACTION, MIN_ORDINARY_QUEUE_FRACTION};
+use super::{ChannelLimits, MAX_QUEUE_FRACTION, MIN_ORDINARY_QUEUE_FRACTION};
 use crate::channel_backlog::ChannelBacklog;
 use crate::config::ControllerConfig;
+use crate::controller::urgency::Urgency;
 use crate::host::Timer;
 use crate::test_support::{
     at, config, draining, eject, ready_since, running_controller, set_weight, TestController,
@@ -20,7 +21,7 @@
         controller.channel.backlog.record(at(f64::from(secs)), 0, 1.0, 0.0);
     }
     assert_eq!(available_lines(&mut controller, at(7.0), Urgency::Ordinary), 0.0);
-    assert!(available_lines(&mut controller, at(8.5), Urgency::Urgent { since: at(8.5) }) > 0.0);
+    assert!(available_lines(&mut controller, at(8.5), Urgency::within_grace(at(8.5), &config())) > 0.0);
 }
 
 #[test]
@@ -53,7 +54,7 @@
     controller.channel.backlog = ChannelBacklog::default();
     controller.channel.backlog.record(at(2.0), 0, 895.0, 0.0);
     assert!(available_lines(&mut controller, at(2.0), Urgency::Ordinary) < 1.0);
-    assert!(available_lines(&mut controller, at(2.0), Urgency::Urgent { since: at(2.0) }) > 4.0);
+    assert!(available_lines(&mut controller, at(2.0), Urgency::within_grace(at(2.0), &config())) > 4.0);
 }
 
 #[test]
--- a/src/controller/delivery.rs
+++ b/src/controller/delivery.rs
@@ -6,7 +6,8 @@
 //! proxies left or the event stream broke, one proxy is assigned to a table of its own again so that it sends
 //! a new acknowledgement.
 
-use super::channel::{ChannelLimits, Urgency};
+use super::channel::ChannelLimits;
+use super::urgency::Urgency;
 use super::Controller;
 use crate::host::{Host, Timer};
 use crate::time::{Moment, Span};
--- a/src/controller/ejection.rs
+++ b/src/controller/ejection.rs
@@ -8,8 +8,9 @@
 //! would make it busy, ejections are held back for a part of the drain grace, since assigning the proxies
 //! makes them unnecessary.
 
-use super::channel::{ChannelLimits, Urgency};
+use super::channel::ChannelLimits;
 use super::proxies::Proxy;
+use super::urgency::Urgency;
 use super::Controller;
 use crate::host::{EndpointId, Host};
 use crate::time::Moment;
@@ -21,13 +22,6 @@
 /// the endpoints in a stale table are random.
 const STALE_LINES_MARGIN: f64 = 1.5;
 
-/// The state of ejections that have not been sent.
-#[derive(Default)]
-pub(super) struct EjectionState {
-    /// When the oldest pending ejection started to wait.
-    pending_since: Option<Moment>,
-}
-
 /// The cost of ejections at one proxy with a stale table, in lines.
 struct StaleProxyCost {
     proxy: u32,
@@ -36,15 +30,6 @@
 }
 
 impl<H: Host> Controller<H> {
-    /// Called while lost commands wait to be resent: records when ejections became pending, so that this wait
-    /// counts as collection time.
-    pub(super) fn track_pending_ejections(&mut self, now: Moment) {
-        let is_pending = self.endpoints.iter().any(|(_, endpoint)| endpoint.needs_ejection());
-        if is_pending && self.proxies.any_unassigned() {
-            self.ejection.pending_since.get_or_insert(now);
-        }
-    }
-
     /// Ejects endpoints that are no longer ready from the proxies with stale tables. Returns whether
     /// ejections were deferred because the queue is too long, a proxy may not be sent a message now, or those
     /// that fit would make too small a batch; ejections that are still being collected don't count.
@@ -56,18 +41,18 @@
     ) -> bool {
         let to_eject = self.endpoints_to_eject();
         let total_cost = self.ejection_cost(to_eject.len(), limits);
-        let since = self.ejection.pending_since.unwrap_or(now);
+        let due_since = self.ejections_due_since(&to_eject).unwrap_or(now);
         let collection_time = (self.config.drain_grace - self.config.max_transit) * COLLECTION_GRACE_FRACTION;
         // On a busy channel, ejecting the few endpoints of each event separately would cost a message to
         // every unassigned proxy each time.
         let is_idle = limits.is_nearly_idle(total_cost + self.channel.backlog.queued_lines(now));
-        if !is_idle && total_cost > 0.0 && now - since < collection_time {
-            self.ejection.pending_since = Some(since);
+        if !is_idle && total_cost > 0.0 && now - due_since < collection_time {
             self.schedule_recheck();
             return false;
         }
         let unassigned = self.proxies.matching(|proxy| !proxy.is_assigned());
-        let available = self.channel.available_lines(now, Urgency::Urgent { since }, &unassigned, limits);
+        let urgency = Urgency::within_grace(due_since, &self.config);
+        let available = self.channel.available_lines(now, urgency, &unassigned, limits);
         let cost = |count| self.ejection_cost(count, limits);
         let count = if is_queue_short { limits.largest_batch(to_eject.len(), available, cost) } else { 0 };
         for id in &to_eject[..count] {
@@ -76,9 +61,16 @@
             self.host.eject_endpoint(id);
         }
         self.record_ejections(now, count, limits);
-        let has_deferred = count < to_eject.len();
-        self.ejection.pending_since = has_deferred.then_some(since);
-        has_deferred
+        count < to_eject.len()
+    }
+
+    /// Since when the earliest of these ejections, which are in the order in which the endpoints stopped being
+    /// ready, has been due: at a proxy that joined later, the drain grace counts from the join. `None` if there
+    /// is no ejection or no proxy to send it to.
+    fn ejections_due_since(&self, to_eject: &[EndpointId]) -> Option<Moment> {
+        let first = self.endpoints.get(to_eject.first()?)?;
+        let first_joined = self.proxies.first_unassigned_join()?;
+        Some(first.unready_since()?.max(first_joined))
     }
 
     /// The endpoints that are no longer ready, are in no table and may still be used by proxies with stale
--- a/src/controller/endpoints.rs
+++ b/src/controller/endpoints.rs
@@ -36,6 +36,8 @@
     pub(super) state: EndpointState,
     /// When it last started; `None` if that was long ago.
     pub(super) started: Option<Moment>,
+    /// When the endpoint list first stated that start.
+    pub(super) start_listed: Moment,
     /// When a load report last covered an attempt that it answered.
     pub(super) last_answered: Option<Moment>,
     /// When it was last known to be ready; its first appearance if it never was.
@@ -78,6 +80,11 @@
         self.state == EndpointState::Ready
     }
 
+    /// When it stopped being ready; `None` if it is ready. The drain grace counts from then.
+    pub(super) fn unready_since(&self) -> Option<Moment> {
+        (!self.is_ready()).then_some(self.last_ready)
+    }
+
     /// Applies a state from the endpoint list.
     pub(super) fn set_state(&mut self, now: Moment, state: EndpointState) {
         if self.is_ready() {
@@ -106,6 +113,7 @@
     fn apply(&mut self, now: Moment, update: &EndpointUpdate) {
         if update.started > self.started {
             self.started = update.started;
+            self.start_listed = now;
             self.outlier.set_level(0, now);
             self.outlier.ejection_count = 0;
         }
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -23,6 +23,7 @@
 //! | `routing` | which endpoints a route table should hold |
 //! | `changes` | which differences from the published tables are worth sending |
 //! | `publication` | when changes are sent, and in which order |
+//! | `urgency` | by when a command must be sent |
 //! | `urgent_batch` | which urgent changes go first |
 //! | `ejection` | when endpoints that are no longer ready are ejected from proxies with stale tables |
 //! | `assignment` | when a proxy is assigned to its route tables |
@@ -52,6 +53,7 @@
 #[cfg(test)]
 mod test_support;
 mod timers;
+mod urgency;
 mod urgent_batch;
 
 use crate::config::ControllerConfig;
@@ -62,7 +64,6 @@
 use candidate::Candidate;
 use channel::{Channel, ChannelLimits};
 use delivery::DeliveryState;
-use ejection::EjectionState;
 use endpoints::EndpointRegistry;
 use fleet_load::FleetLoad;
 use outliers::Outcomes;
@@ -92,7 +93,6 @@
     admission: Admission,
     channel: Channel,
     publication: PublicationState,
-    ejection: EjectionState,
     delivery: DeliveryState,
 }
 
@@ -118,7 +118,6 @@
             admission: Admission::new(&config),
             channel: Channel::new(&config),
             publication: PublicationState::new(now),
-            ejection: EjectionState::default(),
             delivery: DeliveryState::default(),
             config,
         }
@@ -303,7 +302,6 @@
     /// Issues all commands that are due and that fit into the channel.
     fn issue_commands(&mut self, now: Moment) {
         if self.delivery.is_resend_pending {
-            self.track_pending_ejections(now);
             return;
         }
         if self.config.shards > 0 {
--- a/src/controller/proxies.rs
+++ b/src/controller/proxies.rs
@@ -13,6 +13,7 @@
 pub(super) struct Proxy {
     /// Its usual request rate, in requests per second.
     pub(super) rate: f64,
+    joined_at: Moment,
     /// When it joined, or when an assignment of it was last rejected.
     pub(super) waiting_since: Moment,
     /// Whether, when it joined, it had never been assigned a table by any controller and still used the few
@@ -40,11 +41,6 @@
         self.assignments.iter().all(|assignment| assignment.is_assigned)
     }
 
-    /// Whether changes of any of its tables are assumed to reach it.
-    pub(super) fn receives_updates(&self) -> bool {
-        self.assignments.iter().any(|assignment| assignment.receives_updates)
-    }
-
     fn receives_updates_of(&self, table: u32) -> bool {
         self.assignments.iter().any(|assignment| assignment.table == table && assignment.receives_updates)
     }
@@ -87,6 +83,7 @@
         };
         let proxy_state = Proxy {
             rate,
+            joined_at: now,
             waiting_since: now,
             has_initial_table: has_initial_table && !was_seen,
             assignments: placements.iter().map(assignment).collect(),
@@ -126,9 +123,9 @@
         self.joined.iter().filter(|(_, proxy)| predicate(proxy)).map(|(number, _)| *number).collect()
     }
 
-    /// Whether any joined proxy is not assigned to all of its tables yet.
-    pub(super) fn any_unassigned(&self) -> bool {
-        self.joined.values().any(|proxy| !proxy.is_assigned())
+    /// When the first of the proxies that are not assigned to all of their tables yet joined.
+    pub(super) fn first_unassigned_join(&self) -> Option<Moment> {
+        self.joined.values().filter(|proxy| !proxy.is_assigned()).map(|proxy| proxy.joined_at).min()
     }
 
     /// The proxies that changes of each table are assumed to reach, in ascending order.
--- a/src/controller/publication.rs
+++ b/src/controller/publication.rs
@@ -1,17 +1,17 @@
 //! Publication of route table changes: when they are sent, and in which order.
 //!
-//! [`Controller`] publishes whenever it issues commands. Urgent changes (an endpoint leaves the table or has
+//! [`Controller`] publishes whenever it issues commands. Urgent changes (an endpoint stopped being ready or has
 //! restarted, or the table was empty) are sent as soon as the queue is short, in batches that fit into it;
-//! endpoints that stopped being ready first are in the first batch. If the batch holds all urgent changes,
+//! those with the earliest deadline are in the first batch. If the batch holds all urgent changes,
 //! each of its messages also carries the ordinary changes of its table that fit. The more channel time the
 //! previous ordinary changes took, the longer new ones are collected. Only changes that were sent through the
 //! host are marked as published.
 
 use super::admission::RETRY_POLICY;
-use super::changes::{self, TableChanges, WeightChange};
-use super::channel::{ChannelLimits, Urgency};
-use super::proxies::Proxy;
+use super::changes::{self, ChangeContext, TableChanges, WeightChange};
+use super::channel::ChannelLimits;
 use super::routing::RoutingSnapshot;
+use super::urgency::Urgency;
 use super::urgent_batch::UrgentBatch;
 use super::Controller;
 use crate::host::{Host, RequestClassSet};
@@ -57,11 +57,9 @@
         ordinary_due: bool,
         is_queue_short: bool,
     ) -> bool {
-        let receivers = self.proxies.matching(Proxy::receives_updates);
         let mut pending = self.collect_changes(now, limits);
-        let mut batch = UrgentBatch::new(&pending, &self.endpoints);
-        let urgency = Urgency::Urgent { since: batch.pending_since.unwrap_or(now) };
-        let available = self.channel.available_lines(now, urgency, &receivers, limits);
+        let mut batch = UrgentBatch::new(&pending);
+        let available = self.channel.available_lines(now, batch.urgency, &batch.receivers, limits);
         let urgent_lines = if is_queue_short { batch.fill(available, &pending, limits) } else { 0.0 };
         let lines_before = self.channel.backlog.recorded_lines + urgent_lines;
         let mut has_deferred = !batch.is_complete();
@@ -118,7 +116,8 @@
             return Vec::new();
         }
         table.retained_since = None;
-        changes::weight_changes(table, desired, receivers, limits)
+        let context = ChangeContext { endpoints: &self.endpoints, snapshot, config: &self.config };
+        changes::weight_changes(table, desired, receivers, limits, &context)
     }
 
     /// Sends the urgent changes of a table that are in the batch, and the ordinary changes that fit. Without
--- a/src/controller/push_limit.rs
+++ b/src/controller/push_limit.rs
@@ -4,9 +4,10 @@
 //! [`Channel`](super::channel::Channel) asks here before each message to a proxy. A message is sent
 //! immediately if the limit also permits one urgent message per hold time after it. So endpoints that stop
 //! being ready one after the other can't use up the limit, and none of their removals waits for longer than
-//! the hold time, which is a part of the drain grace. Ordinary messages moreover leave a part of the limit to
-//! urgent ones.
+//! the hold time, which is a part of the drain grace. That holds only if nothing but a message with a deadline
+//! is ever sent without regard to it. Ordinary messages moreover leave a part of the limit to urgent ones.
 
+use super::urgency::Urgency;
 use crate::config::ControllerConfig;
 use crate::time::{Moment, Span};
 
@@ -29,13 +30,17 @@
     /// Zero if the limit does not permit one message per such time: holding messages back would then not keep
     /// the drain grace either.
     hold_time: Span,
+    /// What remains of the drain grace, less the maximum transit time, after the hold time.
+    time_after_hold: Span,
 }
 
 impl PushLimit {
     /// Creates the limit of a deployment.
     pub(super) fn new(config: &ControllerConfig) -> Self {
         let max_pushes = config.max_pushes as usize;
-        PushLimit { max_pushes, window: config.push_window, hold_time: hold_time(config, max_pushes) }
+        let hold_time = hold_time(config, max_pushes);
+        let time_after_hold = config.drain_grace - config.max_transit - hold_time;
+        PushLimit { max_pushes, window: config.push_window, hold_time, time_after_hold }
     }
 
     /// Whether there is a limit.
@@ -48,20 +53,26 @@
         self.window
     }
 
-    /// Whether an ordinary message may be sent now. `sent` are the times of the messages within the window
-    /// that ends now, oldest first.
-    pub(super) fn allows_ordinary(&self, now: Moment, sent: &[Moment]) -> bool {
-        self.is_free(now, sent)
-            || (sent.len() as f64) < self.max_pushes as f64 * ORDINARY_FRACTION
-                && self.leaves_room_for_urgent(now, sent)
-    }
-
-    /// Whether an urgent message may be sent now that has been due since `since`; `sent` as for an ordinary
-    /// message. It is not held back for longer than the hold time, also if it was delayed for other reasons.
-    pub(super) fn allows_urgent(&self, now: Moment, since: Moment, sent: &[Moment]) -> bool {
-        self.is_free(now, sent)
-            || sent.len() < self.max_pushes
-                && (now - since >= self.hold_time || self.leaves_room_for_urgent(now, sent))
+    /// Whether a message may be sent now. `sent` are the times of the messages within the window that ends
+    /// now, oldest first.
+    ///
+    /// A message with a deadline is not held back for longer than the hold time, also if it was delayed for
+    /// other reasons. All others wait until they leave room for those with a deadline.
+    pub(super) fn allows(&self, now: Moment, urgency: Urgency, sent: &[Moment]) -> bool {
+        if self.is_free(now, sent) {
+            return true;
+        }
+        if sent.len() >= self.max_pushes {
+            return false;
+        }
+        match urgency {
+            Urgency::Deadline(deadline) if now + self.time_after_hold >= deadline => true,
+            Urgency::Deadline(_) | Urgency::Prompt => self.leaves_room_for_urgent(now, sent),
+            Urgency::Ordinary => {
+                (sent.len() as f64) < self.max_pushes as f64 * ORDINARY_FRACTION
+                    && self.leaves_room_for_urgent(now, sent)
+            }
+        }
     }
 
     /// Whether a message now counts against no limit: there is none, or the message is the first one, or it
--- a/src/controller/push_limit/tests.rs
+++ b/src/controller/push_limit/tests.rs
@@ -1,5 +1,6 @@
 use super::PushLimit;
 use crate::config::ControllerConfig;
+use crate::controller::urgency::Urgency;
 use crate::seeded_rng::SeededRng;
 use crate::test_support::{at, config};
 use crate::time::{Moment, Span};
@@ -11,6 +12,11 @@
     PushLimit::new(&ControllerConfig { max_pushes, drain_grace, ..config() })
 }
 
+/// The urgency of a removal that has been due since `since`.
+fn with_grace_from(limit: &PushLimit, since: Moment) -> Urgency {
+    Urgency::Deadline(since + limit.hold_time + limit.time_after_hold)
+}
+
 fn at_all(secs: impl IntoIterator<Item = f64>) -> Vec<Moment> {
     secs.into_iter().map(at).collect()
 }
@@ -20,15 +26,17 @@
     let limit = push_limit(12, 1.225);
     // Two thirds of the limit are used.
     let sent = at_all((0..8).map(|k| 1.2 * f64::from(k)));
-    assert!(limit.allows_urgent(at(8.41), at(8.41), &sent));
+    assert!(limit.allows(at(8.41), with_grace_from(&limit, at(8.41)), &sent));
+    assert!(limit.allows(at(8.41), Urgency::Prompt, &sent));
 }
 
 #[test]
 fn an_urgent_message_is_held_back_if_later_ones_would_exceed_the_limit() {
     let limit = push_limit(12, 1.225);
     let sent = at_all([1.0, 1.1, 1.2, 1.3]);
-    assert!(!limit.allows_urgent(at(1.4), at(1.4), &sent));
-    assert!(limit.allows_urgent(at(1.4 + 0.92), at(1.4), &sent), "it is due for longer than the hold time");
+    assert!(!limit.allows(at(1.4), with_grace_from(&limit, at(1.4)), &sent));
+    let is_held_for_long = limit.allows(at(1.4 + 0.92), with_grace_from(&limit, at(1.4)), &sent);
+    assert!(is_held_for_long, "it is due for longer than the hold time");
 }
 
 /// If the limit is so small that holding messages back would break the grace anyway, nothing is held back.
@@ -36,16 +44,19 @@
 fn a_small_limit_is_used_up_without_delay() {
     let limit = push_limit(5, 1.225);
     let sent = at_all([1.0, 1.1, 1.2, 1.3]);
-    assert!(limit.allows_urgent(at(1.4), at(1.4), &sent));
-    assert!(!limit.allows_urgent(at(1.5), at(1.4), &at_all([1.0, 1.1, 1.2, 1.3, 1.4])));
+    let urgency = with_grace_from(&limit, at(1.4));
+    assert!(limit.allows(at(1.4), urgency, &sent));
+    assert!(!limit.allows(at(1.5), urgency, &at_all([1.0, 1.1, 1.2, 1.3, 1.4])));
 }
 
 #[test]
 fn a_message_at_the_time_of_the_latest_one_joins_it() {
     let limit = push_limit(2, 1.225);
     let sent = at_all([1.0, 2.0]);
-    assert!(limit.allows_urgent(at(2.0), at(2.0), &sent) && limit.allows_ordinary(at(2.0), &sent));
-    assert!(!limit.allows_urgent(at(2.1), at(1.0), &sent) && !limit.allows_ordinary(at(2.1), &sent));
+    for urgency in [with_grace_from(&limit, at(1.0)), Urgency::Prompt, Urgency::Ordinary] {
+        assert!(limit.allows(at(2.0), urgency, &sent));
+        assert!(!limit.allows(at(2.1), urgency, &sent));
+    }
 }
 
 /// Sends messages at random times for 100 s, urgent ones as soon as they are allowed, and returns the longest
@@ -64,12 +75,12 @@
             due_since.get_or_insert(now);
         }
         let is_ordinary_due = rng.next_f64() < ordinary_rate * STEP_SECS;
-        let sends_urgent = due_since.filter(|since| limit.allows_urgent(now, *since, &sent));
+        let sends_urgent = due_since.filter(|since| limit.allows(now, with_grace_from(limit, *since), &sent));
         if let Some(since) = sends_urgent {
             longest = longest.max((now - since).as_secs());
             due_since = None;
         }
-        if sends_urgent.is_some() || is_ordinary_due && limit.allows_ordinary(now, &sent) {
+        if sends_urgent.is_some() || is_ordinary_due && limit.allows(now, Urgency::Ordinary, &sent) {
             sent.push(now);
         }
         assert!(sent.len() <= max_pushes, "seed {seed}");
--- a/src/controller/routing.rs
+++ b/src/controller/routing.rs
@@ -266,6 +266,11 @@
         let all_rates = self.rates_by_zone.values().sum::<f64>();
         rate / all_rates.max(1e-9) * self.served_capacity
     }
+
+    /// Whether an endpoint is left out of tables because it is cold and the fleet is degraded.
+    pub(super) fn excludes(&self, id: &EndpointId) -> bool {
+        self.candidates.iter().any(|candidate| candidate.id == *id && self.fleet.excludes(candidate))
+    }
 }
 
 /// The ready endpoints with their present weight and slow-start factor, ordered by id.
--- a/src/controller/routing/tests.rs
+++ b/src/controller/routing/tests.rs
@@ -2,10 +2,12 @@
 use crate::config::ControllerConfig;
 use crate::controller::channel::ChannelLimits;
 use crate::controller::placement::ARCS_PER_ZONE;
+use crate::controller::test_support::Timeline;
 use crate::host::{EndpointUpdate, Timer};
 use crate::test_support::{
-    at, config, ready, ready_since, removed, running_controller, Command, TestController,
+    at, config, draining, ready, ready_since, removed, running_controller, Command, TestController,
 };
+use crate::time::Span;
 use std::collections::BTreeSet;
 
 fn in_zone(zone: u32, update: EndpointUpdate) -> EndpointUpdate {
@@ -178,3 +180,43 @@
         |command: &Command| matches!(command, Command::SetWeight { weight, .. } if *weight == 0.0);
     assert!(controller.host.count(is_removal) <= 16);
 }
+
+/// Guards against arcs that move on as the fleet grows and use up the message limit with it: the removal of a
+/// draining endpoint then waited for seconds, as the displaced endpoints passed for overdue removals.
+#[test]
+fn a_draining_endpoint_is_removed_within_the_grace_while_the_fleet_grows() {
+    let config = ControllerConfig {
+        proxy_count: 75,
+        channel_rate: 1800.0,
+        max_queued_lines: 1800.0,
+        max_transit: Span::from_secs(0.275),
+        drain_grace: Span::from_secs(1.5),
+        ..config()
+    };
+    let mut controller = running_controller(config, &[], 0);
+    let fleet: Vec<EndpointUpdate> = (0..26).map(|k| ready(&format!("s{k}"))).collect();
+    controller.endpoint_list_replaced(at(0.5), &fleet);
+    for proxy in 0..40 {
+        controller.proxy_joined(at(0.6), proxy, 0, 3.7, true);
+    }
+    let mut timeline = Timeline::new(controller, at(0.6));
+    timeline.run_until(60.0);
+    for step in 0..36 {
+        let listed_at = 60.0 + 0.3 * f64::from(step);
+        timeline.run_until(listed_at);
+        let new = ready_since(&format!("n{step}"), listed_at);
+        timeline.step(|controller, now| controller.endpoints_updated(now, &[new]));
+        for (drained, endpoint) in [(17, "s1"), (20, "s2"), (23, "s3")] {
+            if step == drained {
+                timeline.step(|controller, now| controller.endpoints_updated(now, &[draining(endpoint)]));
+            }
+        }
+    }
+    timeline.run_until(75.0);
+    for (drained_at, endpoint) in [(65.1, "s1"), (66.0, "s2"), (66.9, "s3")] {
+        let removes = |command: &Command| matches!(command, Command::SetWeight { endpoint: id, weight, .. } if &**id == endpoint && *weight == 0.0);
+        let removed_at = timeline.last_issued(removes).expect("some table held the endpoint");
+        let waited = removed_at - at(drained_at);
+        assert!(waited <= Span::from_secs(1.5 - 0.275), "{endpoint}: removed {} s later", waited.as_secs());
+    }
+}
--- a/src/controller/slow_start.rs
+++ b/src/controller/slow_start.rs
@@ -53,6 +53,11 @@
             exclude_coldest: config.proxy_ejection_threshold > 0 && load.is_degraded,
         }
     }
+
+    /// Whether an endpoint is left out of tables that have warm ones.
+    pub(super) fn excludes(&self, candidate: &Candidate) -> bool {
+        self.exclude_coldest && candidate.slow_start_factor < MIN_FACTOR_WHILE_DEGRADED
+    }
 }
 
 /// The fraction of its weight that an endpoint may have at its age; 1 if `started` is `None`.
@@ -78,11 +83,10 @@
     let min_cold_factor =
         ((cold_capacity + warm_capacity) / MAX_WARM_LOAD - warm_capacity) / cold_capacity.max(1e-9);
     let cold_factor = fleet.capacity_fraction.max(min_cold_factor).min(1.0);
-    let exclude_coldest = fleet.exclude_coldest && warm_capacity > 0.0;
     let mut weights = BTreeMap::new();
     for candidate in candidates {
         let is_warm = candidate.is_warm();
-        if exclude_coldest && candidate.slow_start_factor < MIN_FACTOR_WHILE_DEGRADED {
+        if warm_capacity > 0.0 && fleet.excludes(&candidate) {
             continue;
         }
         let factor = if is_warm { 1.0 } else { candidate.slow_start_factor * cold_factor };
--- a/src/controller/test_support.rs
+++ b/src/controller/test_support.rs
@@ -1,7 +1,11 @@
 //! Test helpers that access the private state of the controller.
 
+use super::{EVALUATION_INTERVAL, RECHECK_DELAY};
 use crate::config::ControllerConfig;
-use crate::test_support::{config, running_controller, TestController};
+use crate::host::Timer;
+use crate::test_support::{at, config, running_controller, Command, TestController};
+use crate::time::{Moment, Span};
+use std::collections::BTreeSet;
 
 /// Returns a running controller with 30 assigned proxies and the endpoints "10" up to but excluding `end`.
 /// With a large `end`, the changes of all endpoints don't fit into the channel at once.
@@ -16,3 +20,94 @@
     }
     controller
 }
+
+/// The time after which the proxies acknowledge commands.
+const ACKNOWLEDGEMENT_DELAY: Span = Span::from_us(200_000);
+
+/// A command, with the time at which it was issued.
+pub(super) struct IssuedCommand {
+    pub(super) at: Moment,
+    pub(super) command: Command,
+}
+
+/// Runs a controller in simulated time: fires the timers that it schedules, and lets every proxy acknowledge
+/// the commands for which it requests that.
+pub(super) struct Timeline {
+    pub(super) controller: TestController,
+    now: Moment,
+    /// Future timers, in the order in which they are due.
+    timers: BTreeSet<(Moment, Timer)>,
+    /// Future acknowledgements: when, and the number.
+    acknowledgements: BTreeSet<(Moment, u32)>,
+    /// All commands so far.
+    pub(super) issued: Vec<IssuedCommand>,
+}
+
+impl Timeline {
+    /// Continues with a controller at this time.
+    pub(super) fn new(controller: TestController, now: Moment) -> Self {
+        let evaluation = (now + EVALUATION_INTERVAL, Timer::Evaluation);
+        let recheck = (now + RECHECK_DELAY, Timer::Recheck);
+        Timeline {
+            controller,
+            now,
+            timers: [evaluation, recheck].into(),
+            acknowledgements: BTreeSet::new(),
+            issued: Vec::new(),
+        }
+    }
+
+    /// Lets time pass until this many seconds after the start of the test.
+    pub(super) fn run_until(&mut self, secs: f64) {
+        let end = at(secs);
+        loop {
+            let next_timer = self.timers.first().copied().filter(|(due, _)| *due <= end);
+            let next_acknowledgement = self.acknowledgements.first().copied().filter(|(due, _)| *due <= end);
+            match (next_timer, next_acknowledgement) {
+                (timer, Some((due, number))) if timer.is_none_or(|(timer_due, _)| due <= timer_due) => {
+                    self.acknowledgements.pop_first();
+                    self.now = due;
+                    self.acknowledge(number);
+                }
+                (Some((due, timer)), _) => {
+                    self.timers.pop_first();
+                    self.now = due;
+                    self.controller.timer_fired(due, timer);
+                }
+                (None, _) => break,
+            }
+            self.take_commands();
+        }
+        self.now = end;
+    }
+
+    fn acknowledge(&mut self, number: u32) {
+        let proxies: Vec<u32> = self.controller.proxies.joined.keys().copied().collect();
+        for proxy in proxies {
+            self.controller.commands_acknowledged(self.now, number, proxy);
+        }
+    }
+
+    /// Passes an event to the controller at the present time.
+    pub(super) fn step(&mut self, event: impl FnOnce(&mut TestController, Moment)) {
+        event(&mut self.controller, self.now);
+        self.take_commands();
+    }
+
+    fn take_commands(&mut self) {
+        for command in std::mem::take(&mut self.controller.host_mut().commands) {
+            match command {
+                Command::ScheduleTimer { after, timer } => _ = self.timers.insert((self.now + after, timer)),
+                Command::RequestAcknowledgement(number) => {
+                    self.acknowledgements.insert((self.now + ACKNOWLEDGEMENT_DELAY, number));
+                }
+                command => self.issued.push(IssuedCommand { at: self.now, command }),
+            }
+        }
+    }
+
+    /// When the last command that satisfies a predicate was issued.
+    pub(super) fn last_issued(&self, matches: impl Fn(&Command) -> bool) -> Option<Moment> {
+        self.issued.iter().rev().find(|issued| matches(&issued.command)).map(|issued| issued.at)
+    }
+}
--- /dev/null
+++ b/src/controller/urgency.rs
@@ -0,0 +1,30 @@
+//! How soon a command must be sent.
+//!
+//! Every weight change and ejection carries its own [`Urgency`]. `changes` and `ejection` determine it, and
+//! `urgent_batch`, `channel` and `push_limit` decide by it what goes first and what has to wait.
+
+use crate::config::ControllerConfig;
+use crate::time::Moment;
+
+/// How soon a command must be sent. A more urgent value is less than a less urgent one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Urgency {
+    /// Not later than at this time, so that the proxies apply it within the drain grace.
+    Deadline(Moment),
+    /// As soon as the limits permit, but without a deadline.
+    Prompt,
+    /// Once the limits leave enough for more urgent commands.
+    Ordinary,
+}
+
+impl Urgency {
+    /// The urgency of a command that the proxies must apply within the drain grace after `since`.
+    pub(super) fn within_grace(since: Moment, config: &ControllerConfig) -> Self {
+        Urgency::Deadline(since + (config.drain_grace - config.max_transit))
+    }
+
+    /// Whether it is [`Urgency::Ordinary`].
+    pub(super) fn is_ordinary(self) -> bool {
+        self == Urgency::Ordinary
+    }
+}
--- a/src/controller/urgent_batch.rs
+++ b/src/controller/urgent_batch.rs
@@ -2,38 +2,45 @@
 //! costs.
 //!
 //! `publication` builds a batch whenever it publishes, and sends as many of its endpoints as fit into the
-//! channel. Endpoints that stopped being ready first come first, since their drain grace ends first.
+//! channel. The endpoint with the earliest deadline comes first.
 
 use super::changes::{TableChanges, WeightChange};
 use super::channel::ChannelLimits;
-use super::endpoints::EndpointRegistry;
+use super::urgency::Urgency;
 use crate::host::EndpointId;
-use crate::time::Moment;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The endpoints with urgent changes, and how many of them are sent now.
 pub(super) struct UrgentBatch {
-    /// The position of each endpoint in the order in which the endpoints were last ready.
+    /// The position of each endpoint in the order of urgency.
     positions: BTreeMap<EndpointId, usize>,
     /// The number of endpoints whose urgent changes are sent now, counted from position 0.
     size: usize,
-    /// When the endpoint at position 0 was last ready; `None` if there are no urgent changes.
-    pub(super) pending_since: Option<Moment>,
+    /// The urgency of the endpoint at position 0; [`Urgency::Ordinary`] if there are no urgent changes.
+    pub(super) urgency: Urgency,
+    /// The proxies that urgent changes are sent to, in ascending order.
+    pub(super) receivers: Vec<u32>,
 }
 
 impl UrgentBatch {
     /// Finds all endpoints with urgent changes; none is included in the batch yet.
-    pub(super) fn new(pending: &[TableChanges], endpoints: &EndpointRegistry) -> Self {
-        let mut ordered = BTreeSet::new();
-        for change in pending.iter().flat_map(|table| &table.changes) {
-            if change.is_urgent {
-                let last_ready = endpoints.get(&change.id).map(|endpoint| endpoint.last_ready);
-                ordered.insert((last_ready, change.id.clone()));
+    pub(super) fn new(pending: &[TableChanges]) -> Self {
+        let mut urgencies = BTreeMap::<&EndpointId, Urgency>::new();
+        let mut receivers = BTreeSet::<u32>::new();
+        for table in pending {
+            for change in table.changes.iter().filter(|change| !change.urgency.is_ordinary()) {
+                let urgency = urgencies.entry(&change.id).or_insert(change.urgency);
+                *urgency = change.urgency.min(*urgency);
+                receivers.extend(&table.receivers);
             }
         }
-        let pending_since = ordered.first().and_then(|(last_ready, _)| *last_ready);
-        let positions = ordered.into_iter().enumerate().map(|(position, (_, id))| (id, position));
-        UrgentBatch { positions: positions.collect(), size: 0, pending_since }
+        let mut ordered: Vec<(Urgency, &EndpointId)> =
+            urgencies.into_iter().map(|(id, urgency)| (urgency, id)).collect();
+        ordered.sort();
+        let urgency = ordered.first().map_or(Urgency::Ordinary, |(urgency, _)| *urgency);
+        let positions = ordered.into_iter().enumerate().map(|(position, (_, id))| (id.clone(), position));
+        let receivers = receivers.into_iter().collect();
+        UrgentBatch { positions: positions.collect(), size: 0, urgency, receivers }
     }
 
     /// Includes as many endpoints as fit into `available` lines. Returns the lines that their changes take.
@@ -56,7 +63,7 @@
     }
 
     fn would_include(&self, change: &WeightChange, size: usize) -> bool {
-        change.is_urgent && self.positions[&change.id] < size
+        !change.urgency.is_ordinary() && self.positions[&change.id] < size
     }
 
     /// The lines that a batch of `size` endpoints takes, summed over all receivers. A receiver of changes in
@@ -78,7 +85,7 @@
     pub(super) fn retain_sendable(&self, changes: &mut Vec<WeightChange>, max_ordinary: usize) {
         let mut ordinary = 0;
         changes.retain(|change| {
-            if change.is_urgent {
+            if !change.urgency.is_ordinary() {
                 return self.includes(change);
             }
             ordinary += 1;
