Assignments ask for the limit on messages as every other message does

Cause: assign_waiting looked at the queue alone. The room that the limit leaves for removals holds only if every message leaves it.

Change: an assignment waits until the limit permits a message to its proxy.

Result: the new test failed before (an assignment beyond the limit).

--- a/src/controller/assignment.rs
+++ b/src/controller/assignment.rs
@@ -2,10 +2,10 @@
 //!
 //! [`Controller`] assigns proxies whenever it issues commands, and only if no weight change or ejection was
 //! deferred because it did not fit into the channel. Each assignment of a proxy waits for
-//! [`JOIN_COLLECTION_TIME`] and until its table holds a ready endpoint and it fits into the queue of the
-//! channel; a nearly empty queue accepts an assignment of any size. A proxy that was never assigned waits for
-//! a ready endpoint only up to a timeout and is then assigned its tables as they are. An assignment that is
-//! in effect is not changed.
+//! [`JOIN_COLLECTION_TIME`] and until its table holds a ready endpoint, it fits into the queue of the channel
+//! and the limit on the messages to the proxy permits it; a nearly empty queue accepts an assignment of any
+//! size. A proxy that was never assigned waits for a ready endpoint only up to a timeout and is then assigned
+//! its tables as they are. An assignment that is in effect is not changed.
 
 use super::channel::ChannelLimits;
 use super::urgency::Urgency;
@@ -53,14 +53,11 @@
     /// Makes the waiting assignments that are eligible. Those of proxies that still use their initial table
     /// come first, then those of proxies with the highest request rate.
     pub(super) fn assign_waiting(&mut self, now: Moment, limits: &ChannelLimits) {
-        let max_lines = limits.max_lines(Urgency::Ordinary);
         for WaitingAssignment { proxy, table } in self.waiting_assignments() {
             let state = &self.proxies.joined[&proxy];
             let waited = now - state.waiting_since;
             let has_timed_out = state.has_initial_table && waited >= FIRST_ASSIGNMENT_TIMEOUT;
-            let queued = self.channel.backlog.queued_lines(now);
-            let message = limits.message_overhead + self.tables.by_number[&table].assignment_lines();
-            if waited < JOIN_COLLECTION_TIME || queued > IDLE_QUEUE_LINES && queued + message > max_lines {
+            if waited < JOIN_COLLECTION_TIME || !self.assignment_fits(now, proxy, table, limits) {
                 self.schedule_recheck();
             } else if has_timed_out || self.tables.has_ready_endpoint(table, &self.endpoints) {
                 self.assign(now, proxy, table, limits);
@@ -71,6 +68,15 @@
         }
     }
 
+    /// Whether an assignment fits into the queue, and the proxy may be sent a message.
+    fn assignment_fits(&mut self, now: Moment, proxy: u32, table: u32, limits: &ChannelLimits) -> bool {
+        let queued = self.channel.backlog.queued_lines(now);
+        let message = limits.message_overhead + self.tables.by_number[&table].assignment_lines();
+        let fits_queue =
+            queued <= IDLE_QUEUE_LINES || queued + message <= limits.max_lines(Urgency::Ordinary);
+        fits_queue && self.channel.may_push(now, Urgency::Prompt, proxy, limits)
+    }
+
     fn waiting_assignments(&self) -> Vec<WaitingAssignment> {
         let joined = &self.proxies.joined;
         let mut proxies = self.proxies.matching(|proxy| !proxy.is_assigned());
--- a/src/controller/assignment/tests.rs
+++ b/src/controller/assignment/tests.rs
@@ -83,3 +83,18 @@
     controller.timer_fired(at(2.2), Timer::Recheck);
     assert_eq!(controller.host.count(|command| *command == assign_table(0, 0)), 1);
 }
+
+/// Guards against assignments that are made whatever was sent before: a proxy that is announced again, as the
+/// event stream is reopened, got a message more than the limit permits.
+#[test]
+fn a_proxy_that_joins_again_is_sent_no_more_messages_than_permitted() {
+    let mut controller = running_controller(config(), &["a"], 1);
+    for message in 0..12 {
+        controller.channel.backlog.record(at(1.0 + 0.1 * f64::from(message)), 0, 1.0, 0.0);
+    }
+    controller.proxy_joined(at(3.0), 0, 0, 10.0, false);
+    controller.timer_fired(at(3.2), Timer::Recheck);
+    assert_eq!(controller.host.assignment_count(), 0);
+    controller.timer_fired(at(12.2), Timer::Recheck);
+    assert_eq!(controller.host.assignment_count(), 1);
+}
--- a/src/controller/channel.rs
+++ b/src/controller/channel.rs
@@ -195,7 +195,13 @@
     }
 
     /// Whether the limit on the messages to each proxy permits one to this proxy now.
-    fn may_push(&mut self, now: Moment, urgency: Urgency, proxy: u32, limits: &ChannelLimits) -> bool {
+    pub(super) fn may_push(
+        &mut self,
+        now: Moment,
+        urgency: Urgency,
+        proxy: u32,
+        limits: &ChannelLimits,
+    ) -> bool {
         let push_limit = &limits.push_limit;
         if !push_limit.is_limited() {
             return true;
