A table with cold endpoints only stays empty until they can carry its load together

Cause, in two parts: nothing compared the load of a table with what its cold endpoints can take, and only the first weight of an empty table was urgent; the others waited since half of the messages had been used for the removals.

Further endpoints of a table of cold ones are Prompt changes. The peak weight has a type of its own, which the endpoint registry uses too, and stays while there is no weight at all.

--- a/adapter-support/src/settings.rs
+++ b/adapter-support/src/settings.rs
@@ -83,6 +83,8 @@
         max_transit: family.field("transitMaxUs").microseconds(),
         drain_grace: guarantees.field("drainGraceUs").microseconds(),
         slow_start_window: guarantees.field("coldUs").microseconds(),
+        initial_capacity: guarantees.field("coldFrom").number().clamp(0.0, 1.0),
+        collapse_multiple: guarantees.field("fallMultiple").number(),
         drain_grace_excludes_removed: guarantees.field("removalNotBinding").bool(),
     }
 }
--- a/simulation/src/controller_config.rs
+++ b/simulation/src/controller_config.rs
@@ -30,6 +30,8 @@
         max_transit: control_plane.message_delay * 2.0,
         drain_grace: control_plane.drain_grace,
         slow_start_window: control_plane.slow_start_window,
+        initial_capacity: 0.0,
+        collapse_multiple: 0.0,
         drain_grace_excludes_removed: false,
     }
 }
--- a/src/controller/candidate.rs
+++ b/src/controller/candidate.rs
@@ -9,8 +9,12 @@
     pub(super) zone: u32,
     /// The listed weight after the reductions by outlier detection and zone routing.
     pub(super) weight: f64,
-    /// The fraction of its full load that the endpoint is assumed to carry at present; 1 once it is warm.
+    /// The weight in the endpoint list.
+    pub(super) listed_weight: f64,
+    /// The fraction of its weight that the endpoint gets at present; 1 once it is warm.
     pub(super) slow_start_factor: f64,
+    /// The fraction of its full load that the endpoint can carry at present; 1 once it is warm.
+    pub(super) capacity_fraction: f64,
 }
 
 impl Candidate {
@@ -19,7 +23,7 @@
         self.slow_start_factor >= 1.0
     }
 
-    /// The load that the endpoint is assumed to carry at present, in units of weight.
+    /// The load that the endpoint should get at present, in units of weight.
     pub(super) fn capacity(&self) -> f64 {
         self.weight * self.slow_start_factor
     }
--- a/src/controller/changes.rs
+++ b/src/controller/changes.rs
@@ -13,13 +13,12 @@
 use super::assignment::ASSIGNMENT_RETRY_INTERVAL;
 use super::channel::ChannelLimits;
 use super::endpoints::{Endpoint, EndpointRegistry};
-use super::routing::{RouteTable, RoutingSnapshot};
+use super::routing::{DesiredWeights, RouteTable, RoutingSnapshot};
 use super::slow_start::EndpointWeight;
 use super::urgency::Urgency;
 use crate::config::ControllerConfig;
 use crate::host::{EndpointId, EndpointState};
 use crate::time::{Moment, Span};
-use std::collections::BTreeMap;
 
 /// A weight change of an endpoint that is warming up is sent only if the old and the new weight differ by
 /// more than this factor.
@@ -67,28 +66,30 @@
 }
 
 impl ChangeContext<'_> {
-    /// The urgency of a removal: the drain grace of an endpoint that stopped being ready is running.
-    fn removal_urgency(&self, id: &EndpointId) -> Urgency {
+    /// The urgency of a removal: the drain grace of an endpoint that stopped being ready is running, and a cold
+    /// one may be overloaded.
+    fn removal_urgency(&self, id: &EndpointId, is_held_back: bool) -> Urgency {
         match self.endpoints.get(id).and_then(Endpoint::unready_since) {
             Some(since) => Urgency::within_grace(since, self.config),
-            None if self.snapshot.excludes(id) => Urgency::Prompt,
+            None if is_held_back || self.snapshot.excludes(id) => Urgency::Prompt,
             None => Urgency::Ordinary,
         }
     }
 
-    /// The urgency of a weight that replaces the published one. An endpoint that has restarted may be
-    /// overloaded by its former weight as soon as proxies use it with knowledge of the restart.
+    /// The urgency of a weight that replaces the published one, in a table that may hold no warm endpoint. An
+    /// endpoint that has restarted may be overloaded by its former weight. If a table holds cold endpoints only,
+    /// each further endpoint takes load from them.
     fn weight_urgency(
         &self,
-        table: &RouteTable,
         id: &EndpointId,
         published: f64,
         desired: &EndpointWeight,
+        lacks_warm: bool,
     ) -> Urgency {
         let has_restarted = !desired.is_warm && published > RESTART_RATIO * desired.weight;
         match self.endpoints.get(id) {
             Some(endpoint) if has_restarted => Urgency::within_grace(endpoint.start_listed, self.config),
-            _ if table.weights.is_empty() => Urgency::Prompt,
+            _ if lacks_warm && published == 0.0 => Urgency::Prompt,
             _ => Urgency::Ordinary,
         }
     }
@@ -97,24 +98,25 @@
 /// The changes from the published to the desired weights that are worth sending to this number of receivers.
 pub(super) fn weight_changes(
     table: &RouteTable,
-    desired: BTreeMap<EndpointId, EndpointWeight>,
+    desired: DesiredWeights,
     receiver_count: usize,
     limits: &ChannelLimits,
     context: &ChangeContext,
 ) -> Vec<WeightChange> {
     let secs_per_line = limits.transmission_secs(receiver_count as f64);
-    let sum = desired.values().map(|desired| desired.weight).sum::<f64>();
-    let mean = sum / desired.len().max(1) as f64;
+    let sum = desired.weights.values().map(|desired| desired.weight).sum::<f64>();
+    let mean = sum / desired.weights.len().max(1) as f64;
     let min_difference = mean * secs_per_line * MIN_DIFFERENCE_PER_SEC;
+    let lacks_warm = !context.snapshot.any_warm(&table.weights);
     let mut changes = removals(table, &desired, context);
-    for (id, desired) in desired {
+    for (id, desired) in desired.weights {
         let EndpointWeight { weight, is_warm } = desired;
         let published = table.weights.get(&id).copied().unwrap_or(0.0);
         let ratio = (published / weight).max(weight / published);
         let difference = (published - weight).abs();
         let differs = ratio > MIN_WARMING_RATIO || is_warm && ratio > MIN_WARM_RATIO;
         if differs && (difference > min_difference || published == 0.0) {
-            let urgency = context.weight_urgency(table, &id, published, &desired);
+            let urgency = context.weight_urgency(&id, published, &desired, lacks_warm);
             changes.push(WeightChange { id, weight, urgency, difference });
         }
     }
@@ -125,15 +127,11 @@
     changes
 }
 
-fn removals(
-    table: &RouteTable,
-    desired: &BTreeMap<EndpointId, EndpointWeight>,
-    context: &ChangeContext,
-) -> Vec<WeightChange> {
+fn removals(table: &RouteTable, desired: &DesiredWeights, context: &ChangeContext) -> Vec<WeightChange> {
     let mut removals = Vec::new();
     for (id, published) in &table.weights {
-        if !desired.contains_key(id) {
-            let urgency = context.removal_urgency(id);
+        if !desired.weights.contains_key(id) {
+            let urgency = context.removal_urgency(id, desired.is_held_back);
             removals.push(WeightChange { id: id.clone(), weight: 0.0, urgency, difference: *published });
         }
     }
--- a/src/controller/endpoints.rs
+++ b/src/controller/endpoints.rs
@@ -5,6 +5,7 @@
 //! minimum weight, and that no endpoint is forgotten while a route table holds it. It also determines the
 //! delay before a failed list watch is retried.
 
+use super::peak_weight::PeakWeight;
 use crate::histogram::Histogram;
 use crate::host::{EndpointId, EndpointState, EndpointUpdate};
 use crate::seeded_rng::SeededRng;
@@ -18,9 +19,6 @@
 /// disconnected while still using its tables, and longer than any drain grace.
 const REMOVED_RETENTION: Span = Span::from_us(60_000_000);
 
-/// The factor by which the peak of the ready weight decays at each evaluation.
-const PEAK_DECAY: f64 = 0.99;
-
 /// The mean delay before the list is watched again after repeated failures.
 const WATCH_RETRY_DELAY: Span = Span::from_us(700_000);
 
@@ -127,8 +125,8 @@
 #[derive(Default)]
 pub(super) struct EndpointRegistry {
     by_id: BTreeMap<EndpointId, Endpoint>,
-    /// The recent peak of the ready weight; it decays.
-    peak_ready_weight: f64,
+    /// The ready weight and its recent peak.
+    ready_weight: PeakWeight,
     /// When watching the endpoint list last failed.
     last_watch_failure: Option<Moment>,
 }
@@ -143,7 +141,7 @@
                 .or_insert_with(|| Endpoint { last_ready: now, ..Endpoint::default() });
             endpoint.apply(now, update);
         }
-        self.peak_ready_weight = self.peak_ready_weight.max(self.ready_weight());
+        self.ready_weight.record(self.ready_weight());
     }
 
     /// Marks endpoints that are missing from a complete list as removed.
@@ -154,6 +152,7 @@
                 endpoint.set_state(now, EndpointState::Removed);
             }
         }
+        self.ready_weight.record(self.ready_weight());
     }
 
     /// Records a failure to watch the endpoint list and returns the delay before the retry. The first retry
@@ -215,7 +214,7 @@
 
     /// The ready weight as a fraction of its recent peak.
     pub(super) fn ready_fraction_of_peak(&self) -> f64 {
-        self.ready_weight() / self.peak_ready_weight.max(1e-9)
+        self.ready_weight.fraction_of_peak()
     }
 
     /// Decays the outcomes and the peak of the ready weight; called once per evaluation.
@@ -223,7 +222,7 @@
         for endpoint in self.by_id.values_mut() {
             endpoint.outlier.outcomes.halve();
         }
-        self.peak_ready_weight = (self.peak_ready_weight * PEAK_DECAY).max(self.ready_weight());
+        self.ready_weight.decay();
     }
 
     /// Called when a proxy joins with stale tables: no endpoint counts as ejected from all proxies any
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -21,6 +21,8 @@
 //! | `placement` | which route tables a proxy belongs to |
 //! | `slow_start` | the weights of endpoints that are warming up |
 //! | `routing` | which endpoints a route table should hold |
+//! | `cold_tables` | when a table whose endpoints are all cold stays empty |
+//! | `peak_weight` | how much weight usually carries the load |
 //! | `changes` | which differences from the published tables are worth sending |
 //! | `publication` | when changes are sent, and in which order |
 //! | `urgency` | by when a command must be sent |
@@ -38,11 +40,13 @@
 mod candidate;
 mod changes;
 mod channel;
+mod cold_tables;
 mod delivery;
 mod ejection;
 mod endpoints;
 mod fleet_load;
 mod outliers;
+mod peak_weight;
 mod placement;
 mod proxies;
 mod publication;
@@ -260,6 +264,7 @@
         self.detect_outliers(now);
         self.shed_load(now);
         self.endpoints.decay();
+        self.tables.decay();
         self.fleet_load.decay();
         self.forget_removed_endpoints(now);
         self.host.schedule_timer(EVALUATION_INTERVAL, Timer::Evaluation);
--- a/src/controller/publication.rs
+++ b/src/controller/publication.rs
@@ -10,7 +10,7 @@
 use super::admission::RETRY_POLICY;
 use super::changes::{self, ChangeContext, TableChanges, WeightChange};
 use super::channel::ChannelLimits;
-use super::routing::RoutingSnapshot;
+use super::routing::{DesiredWeights, RoutingSnapshot};
 use super::urgency::Urgency;
 use super::urgent_batch::UrgentBatch;
 use super::Controller;
@@ -98,7 +98,14 @@
 
     fn routing_snapshot(&self, now: Moment, limits: &ChannelLimits) -> RoutingSnapshot {
         let rates_by_zone = self.proxies.rates_by_zone();
-        self.tables.snapshot(self.candidates(now), self.fleet_condition(), rates_by_zone, limits)
+        let collapse_multiple = self.config.collapse_multiple;
+        self.tables.snapshot(
+            self.candidates(now),
+            self.fleet_condition(),
+            rates_by_zone,
+            limits,
+            collapse_multiple,
+        )
     }
 
     fn table_changes(
@@ -109,15 +116,31 @@
         receivers: usize,
         snapshot: &RoutingSnapshot,
     ) -> Vec<WeightChange> {
-        let Some(table) = self.tables.by_number.get_mut(&number) else { return Vec::new() };
+        let Some(desired) = self.desired_weights(now, number, snapshot) else { return Vec::new() };
+        let Some(table) = self.tables.by_number.get(&number) else { return Vec::new() };
+        let context = ChangeContext { endpoints: &self.endpoints, snapshot, config: &self.config };
+        changes::weight_changes(table, desired, receivers, limits, &context)
+    }
+
+    /// The weights that a table should have now; `None` if it retains those that it has.
+    fn desired_weights(
+        &mut self,
+        now: Moment,
+        number: u32,
+        snapshot: &RoutingSnapshot,
+    ) -> Option<DesiredWeights> {
+        let table = self.tables.by_number.get_mut(&number)?;
         let desired = table.desired_weights(number, snapshot);
-        if desired.is_empty() && changes::retains_weights(table, &self.endpoints, &self.config, now) {
+        let lacks_candidates = desired.weights.is_empty() && !desired.is_held_back;
+        let is_retained =
+            lacks_candidates && changes::retains_weights(table, &self.endpoints, &self.config, now);
+        if !is_retained {
+            table.retained_since = None;
+        }
+        if is_retained || desired.is_held_back {
             self.schedule_recheck();
-            return Vec::new();
         }
-        table.retained_since = None;
-        let context = ChangeContext { endpoints: &self.endpoints, snapshot, config: &self.config };
-        changes::weight_changes(table, desired, receivers, limits, &context)
+        (!is_retained).then_some(desired)
     }
 
     /// Sends the urgent changes of a table that are in the batch, and the ordinary changes that fit. Without
--- a/src/controller/routing.rs
+++ b/src/controller/routing.rs
@@ -7,10 +7,14 @@
 
 use super::candidate::Candidate;
 use super::channel::ChannelLimits;
+use super::cold_tables;
 use super::endpoints::EndpointRegistry;
 use super::outliers;
+use super::peak_weight::PeakWeight;
 use super::placement::{arc_start, TablePlacement};
-use super::slow_start::{slow_start_factor, slow_start_weights, EndpointWeight, FleetCondition};
+use super::slow_start::{
+    capacity_fraction, slow_start_factor, slow_start_weights, EndpointWeight, FleetCondition,
+};
 use crate::config::{ControllerConfig, RequestClassGroup};
 use crate::host::EndpointId;
 use crate::time::Moment;
@@ -42,6 +46,8 @@
     admission_levels: BTreeMap<usize, f64>,
     /// The factor applied to the weights of endpoints of other zones.
     remote_factor: f64,
+    /// The total weight of the warm endpoints that the table may hold.
+    warm_weight: PeakWeight,
     /// When the table started to retain its weights although none is desired, because an endpoint that was
     /// removed from the list answered recently; `None` if it does not.
     pub(super) retained_since: Option<Moment>,
@@ -58,6 +64,7 @@
             weights: BTreeMap::new(),
             admission_levels: BTreeMap::new(),
             remote_factor: 1.0,
+            warm_weight: PeakWeight::default(),
             retained_since: None,
             last_sent: Moment::default(),
         }
@@ -92,11 +99,7 @@
     /// The weights that the table should have: endpoints of the home zone at their own weight and, unless its
     /// classes are zone-local, remote ones scaled by the remote factor, as many as the table may hold.
     /// Without a home zone, all endpoints count as remote and the factor is 1.
-    pub(super) fn desired_weights(
-        &mut self,
-        number: u32,
-        snapshot: &RoutingSnapshot,
-    ) -> BTreeMap<EndpointId, EndpointWeight> {
+    pub(super) fn desired_weights(&mut self, number: u32, snapshot: &RoutingSnapshot) -> DesiredWeights {
         let usable = snapshot.candidates.iter().filter(|candidate| self.may_use_zone(candidate.zone));
         let (home, remote): (Vec<&Candidate>, Vec<&Candidate>) =
             usable.partition(|candidate| self.home_zone == Some(candidate.zone));
@@ -107,12 +110,18 @@
         let remote = self.ring_arc(number, remote, max.saturating_sub(home.len()));
         self.update_remote_factor(&whole_fleet, &ZoneCapacity::new(&home, &remote), snapshot);
 
+        let selected = home.iter().chain(&remote).copied();
+        self.warm_weight.record(cold_tables::warm_weight(selected.clone()));
+        if cold_tables::lack_capacity(selected, self.warm_weight.peak(), snapshot.collapse_multiple) {
+            return DesiredWeights { is_held_back: true, ..DesiredWeights::default() };
+        }
         let mut candidates: Vec<Candidate> = home.into_iter().cloned().collect();
         for candidate in remote {
             let weight = candidate.weight * self.remote_factor;
             candidates.push(Candidate { weight, ..candidate.clone() });
         }
-        slow_start_weights(candidates, &snapshot.fleet)
+        let weights = slow_start_weights(candidates, &snapshot.fleet);
+        DesiredWeights { weights, is_held_back: false }
     }
 
     /// Updates the remote factor so that remote endpoints take the load beyond the capacity of the home zone,
@@ -163,6 +172,14 @@
     }
 }
 
+/// What a route table should hold.
+#[derive(Default)]
+pub(super) struct DesiredWeights {
+    pub(super) weights: BTreeMap<EndpointId, EndpointWeight>,
+    /// Whether the table should be empty for now, because its endpoints are cold and can't carry its load yet.
+    pub(super) is_held_back: bool,
+}
+
 /// The total routable capacity of endpoints inside and outside a table's home zone.
 struct ZoneCapacity {
     home: f64,
@@ -227,6 +244,7 @@
         fleet: FleetCondition,
         rates_by_zone: BTreeMap<u32, f64>,
         limits: &ChannelLimits,
+        collapse_multiple: f64,
     ) -> RoutingSnapshot {
         candidates.sort_by_cached_key(|candidate| ring_position(&candidate.id, self.ring_seed));
         let served = candidates.iter().filter(|candidate| rates_by_zone.contains_key(&candidate.zone));
@@ -235,10 +253,18 @@
             candidates,
             rates_by_zone,
             max_table_size: limits.max_table_size,
+            collapse_multiple,
             fleet,
         }
     }
 
+    /// Decays the peaks of the warm weights; called once per evaluation.
+    pub(super) fn decay(&mut self) {
+        for table in self.by_number.values_mut() {
+            table.warm_weight.decay();
+        }
+    }
+
     /// Removes a published weight that was rejected.
     pub(super) fn remove_weight(&mut self, number: u32, id: &EndpointId) {
         if let Some(table) = self.by_number.get_mut(&number) {
@@ -256,6 +282,8 @@
     /// The routable capacity of the zones in `rates_by_zone`.
     served_capacity: f64,
     max_table_size: usize,
+    /// See [`ControllerConfig::collapse_multiple`].
+    collapse_multiple: f64,
     fleet: FleetCondition,
 }
 
@@ -267,6 +295,19 @@
         rate / all_rates.max(1e-9) * self.served_capacity
     }
 
+    /// The candidates that a table with these published weights holds.
+    fn candidates_in<'a>(
+        &'a self,
+        weights: &'a BTreeMap<EndpointId, f64>,
+    ) -> impl Iterator<Item = &'a Candidate> {
+        self.candidates.iter().filter(|candidate| weights.contains_key(&candidate.id))
+    }
+
+    /// Whether a table with these published weights holds a ready endpoint that is warm.
+    pub(super) fn any_warm(&self, weights: &BTreeMap<EndpointId, f64>) -> bool {
+        self.candidates_in(weights).any(Candidate::is_warm)
+    }
+
     /// Whether an endpoint is left out of tables because it is cold and the fleet is degraded.
     pub(super) fn excludes(&self, id: &EndpointId) -> bool {
         self.candidates.iter().any(|candidate| candidate.id == *id && self.fleet.excludes(candidate))
@@ -285,6 +326,8 @@
             id: id.clone(),
             zone: endpoint.zone,
             weight: outliers::effective_weight(endpoint),
+            listed_weight: endpoint.weight,
+            capacity_fraction: capacity_fraction(config, endpoint.started, now),
             slow_start_factor: slow_start_factor(config.slow_start_window, endpoint.started, now),
         });
     }
--- a/src/controller/slow_start.rs
+++ b/src/controller/slow_start.rs
@@ -71,6 +71,14 @@
     INITIAL_FACTOR + (1.0 - INITIAL_FACTOR) * progress.powf(RAMP_EXPONENT)
 }
 
+/// The fraction of its full load that an endpoint can carry at its age: its capacity grows about evenly from
+/// the stated initial one.
+pub(super) fn capacity_fraction(config: &ControllerConfig, started: Option<Moment>, now: Moment) -> f64 {
+    let Some(started) = started else { return 1.0 };
+    let progress = (now - started).as_secs() / config.slow_start_window.as_secs().max(1e-9);
+    config.initial_capacity + (1.0 - config.initial_capacity) * progress.clamp(0.0, 1.0)
+}
+
 /// The weights of the candidates of one table, with those of cold endpoints reduced.
 pub(super) fn slow_start_weights(
     candidates: Vec<Candidate>,
--- a/src/test_support.rs
+++ b/src/test_support.rs
@@ -203,6 +203,8 @@
         max_transit: Span::from_secs(0.3),
         drain_grace: Span::from_secs(2.0),
         slow_start_window: Span::from_secs(16.0),
+        initial_capacity: 0.15,
+        collapse_multiple: 4.0,
         drain_grace_excludes_removed: false,
     }
 }
