Events and drains no longer wait for other commands, departed proxies' least of all

Cause: the call that failed assigns 294 proxies, of which 156 have left by the time the relay answers. The relay stops at each, so each costs a call, 40 ms. A drain waited for all of them: no event was handled between the calls, a command issued meanwhile went last, and the controller issued none while commands of a failed call were not accepted. Evidence: 175 calls, 156 rejected commands.

Change: the control loop makes one call in an iteration. CommandQueue (new) drops assignments of proxies that are not joined and sends what has a deadline first, in a call of its own while failed commands wait; as that changes the order, a command replaces earlier ones about the same object. Host gets the deadline with a weight or an ejection. While lost commands wait, the controller issues what has a deadline. The backlog counts copies of all that was not delivered, which may now be more than the latest batch.

Tests changed: lost_commands_are_resent_and_nothing_overtakes_them and deferred_commands_are_sent_once_the_lost_ones_are_accepted demanded that a drain wait, the fault itself.

--- a/control-plane/src/command.rs
+++ b/control-plane/src/command.rs
@@ -1,6 +1,7 @@
 //! Commands in the relay's JSON format. Their wire names appear only in this module.
 
-use otterwinch::host::{EndpointId, RetryPolicy};
+use otterwinch::host::{EndpointId, RequestClassSet, RetryPolicy};
+use otterwinch::time::Moment;
 use serde_json::{json, Value};
 
 /// One command for the relay.
@@ -9,6 +10,8 @@
     pub json: String,
     /// The kind of the command.
     pub kind: CommandKind,
+    /// When it must have been sent; `None` if there is no such time.
+    pub deadline: Option<Moment>,
 }
 
 /// The kind of a command, with the fields that batching and the handling of a rejection need.
@@ -17,6 +20,8 @@
     Assignment {
         /// The proxy.
         proxy: u32,
+        /// The request classes that the assignment is for.
+        classes: RequestClassSet,
     },
     /// Sets the weight of an endpoint in a route table.
     Weight {
@@ -31,11 +36,38 @@
         table: u32,
     },
     /// Ejects or restores an endpoint.
-    Ejection,
+    Ejection {
+        /// The endpoint.
+        endpoint: EndpointId,
+    },
     /// Requests that proxies acknowledge the preceding commands.
     AcknowledgementRequest,
 }
 
+/// The object that a command is about. A later command about the same object makes an earlier one obsolete.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum CommandKey {
+    /// The table of a proxy for some request classes.
+    Assignment {
+        /// The proxy.
+        proxy: u32,
+        /// The request classes, as [`RequestClassSet::bits`].
+        classes: u64,
+    },
+    /// The weight of an endpoint in a route table.
+    Weight {
+        /// The route table.
+        table: u32,
+        /// The endpoint.
+        endpoint: EndpointId,
+    },
+    /// Whether an endpoint is ejected.
+    Ejection {
+        /// The endpoint.
+        endpoint: EndpointId,
+    },
+}
+
 impl Command {
     /// Sets the weight of an endpoint in a route table.
     pub fn set_weight(table: u32, endpoint: &EndpointId, weight: f64) -> Self {
@@ -46,23 +78,25 @@
     /// Assigns a route table to a proxy, for all request classes.
     pub fn assign_table(proxy: u32, table: u32) -> Self {
         let value = json!({"op": "attach", "node": proxy, "table": table});
-        Command::new(value, CommandKind::Assignment { proxy })
+        Command::new(value, CommandKind::Assignment { proxy, classes: RequestClassSet::ALL })
     }
 
-    /// Assigns a route table to a proxy, for the requests of `classes`.
-    pub fn assign_table_for(proxy: u32, table: u32, classes: &[&str]) -> Self {
-        let value = json!({"op": "attach", "node": proxy, "table": table, "routes": classes});
-        Command::new(value, CommandKind::Assignment { proxy })
+    /// Assigns a route table to a proxy, for the requests of `classes`, which have these names.
+    pub fn assign_table_for(proxy: u32, table: u32, classes: RequestClassSet, names: &[&str]) -> Self {
+        let value = json!({"op": "attach", "node": proxy, "table": table, "routes": names});
+        Command::new(value, CommandKind::Assignment { proxy, classes })
     }
 
     /// Ejects an endpoint from all proxies.
     pub fn eject(endpoint: &EndpointId) -> Self {
-        Command::new(json!({"op": "eject", "endpoint": &**endpoint}), CommandKind::Ejection)
+        let value = json!({"op": "eject", "endpoint": &**endpoint});
+        Command::new(value, CommandKind::Ejection { endpoint: endpoint.clone() })
     }
 
     /// Lifts the ejection of an endpoint.
     pub fn restore(endpoint: &EndpointId) -> Self {
-        Command::new(json!({"op": "uneject", "endpoint": &**endpoint}), CommandKind::Ejection)
+        let value = json!({"op": "uneject", "endpoint": &**endpoint});
+        Command::new(value, CommandKind::Ejection { endpoint: endpoint.clone() })
     }
 
     /// Sets the fraction of the requests of `classes` that a route table admits, and when its proxies retry.
@@ -83,8 +117,35 @@
         matches!(self.kind, CommandKind::AcknowledgementRequest)
     }
 
+    /// The same command with a deadline, if there is one.
+    pub fn with_deadline(self, deadline: Option<Moment>) -> Self {
+        Command { deadline, ..self }
+    }
+
+    /// The object that the command is about; `None` if no later command makes it obsolete.
+    pub fn key(&self) -> Option<CommandKey> {
+        match &self.kind {
+            CommandKind::Assignment { proxy, classes } => {
+                Some(CommandKey::Assignment { proxy: *proxy, classes: classes.bits() })
+            }
+            CommandKind::Weight { table, endpoint } => {
+                Some(CommandKey::Weight { table: *table, endpoint: endpoint.clone() })
+            }
+            CommandKind::Ejection { endpoint } => Some(CommandKey::Ejection { endpoint: endpoint.clone() }),
+            CommandKind::Admission { .. } | CommandKind::AcknowledgementRequest => None,
+        }
+    }
+
+    /// The proxy that the command assigns a table to, if it does.
+    pub fn assigned_proxy(&self) -> Option<u32> {
+        match self.kind {
+            CommandKind::Assignment { proxy, .. } => Some(proxy),
+            _ => None,
+        }
+    }
+
     fn new(value: Value, kind: CommandKind) -> Self {
-        Command { json: value.to_string(), kind }
+        Command { json: value.to_string(), kind, deadline: None }
     }
 }
 
@@ -92,8 +153,11 @@
     /// Whether `next`, the command directly after this one, reaches the same proxies.
     pub fn reaches_same_proxies(&self, next: &CommandKind) -> bool {
         match (self, next) {
-            (_, CommandKind::AcknowledgementRequest) | (CommandKind::Ejection, CommandKind::Ejection) => true,
-            (CommandKind::Assignment { proxy }, CommandKind::Assignment { proxy: next }) => proxy == next,
+            (_, CommandKind::AcknowledgementRequest)
+            | (CommandKind::Ejection { .. }, CommandKind::Ejection { .. }) => true,
+            (CommandKind::Assignment { proxy, .. }, CommandKind::Assignment { proxy: next, .. }) => {
+                proxy == next
+            }
             _ => self.table().is_some() && self.table() == next.table(),
         }
     }
@@ -103,9 +167,9 @@
     fn table(&self) -> Option<u32> {
         match self {
             CommandKind::Weight { table, .. } | CommandKind::Admission { table } => Some(*table),
-            CommandKind::Assignment { .. } | CommandKind::Ejection | CommandKind::AcknowledgementRequest => {
-                None
-            }
+            CommandKind::Assignment { .. }
+            | CommandKind::Ejection { .. }
+            | CommandKind::AcknowledgementRequest => None,
         }
     }
 }
--- a/control-plane/src/command_batch.rs
+++ b/control-plane/src/command_batch.rs
@@ -26,11 +26,12 @@
 }
 
 impl CommandBatch {
-    /// Builds the next batch from a non-empty queue.
-    pub fn next(queue: &VecDeque<Command>) -> Self {
+    /// Builds the next batch from the first `max_commands` commands of a queue, of which there must be at least
+    /// one.
+    pub fn next(queue: &VecDeque<Command>, max_commands: usize) -> Self {
         let request = queue.back().filter(|command| command.is_acknowledgement_request());
         let reserved = request.map_or(0, |request| SEPARATOR.len() + request.json.len());
-        let queued_commands = count_fitting_commands(queue, MAX_BODY_BYTES - reserved);
+        let queued_commands = count_fitting_commands(queue, max_commands, MAX_BODY_BYTES - reserved);
         let repeated = request.filter(|_| queued_commands < queue.len());
         let commands_json: Vec<&str> =
             queue.iter().take(queued_commands).chain(repeated).map(|command| command.json.as_str()).collect();
@@ -47,13 +48,13 @@
     }
 }
 
-/// The number of commands from the front of the queue that go into one body: as many as fit, but at least
-/// one. A group of commands that reach the same proxies is left for the next batch if only part of it fits,
+/// The number of commands from the front of the queue that go into one body: as many as fit, up to
+/// `max_commands`, but at least one. A group of commands that reach the same proxies is left for the next batch if only part of it fits,
 /// unless it is the first group.
-fn count_fitting_commands(queue: &VecDeque<Command>, max_bytes: usize) -> usize {
+fn count_fitting_commands(queue: &VecDeque<Command>, max_commands: usize, max_bytes: usize) -> usize {
     let mut length = BODY_START.len() + BODY_END.len();
     let mut group_start = 0;
-    for (position, command) in queue.iter().enumerate() {
+    for (position, command) in queue.iter().take(max_commands).enumerate() {
         if position > 0 {
             if !queue[position - 1].kind.reaches_same_proxies(&command.kind) {
                 group_start = position;
@@ -65,7 +66,7 @@
             return if group_start > 0 { group_start } else { position };
         }
     }
-    queue.len()
+    max_commands.min(queue.len())
 }
 
 #[cfg(test)]
--- a/control-plane/src/command_batch/tests.rs
+++ b/control-plane/src/command_batch/tests.rs
@@ -1,14 +1,16 @@
 use super::*;
 use crate::command::CommandKind;
+use otterwinch::host::RequestClassSet;
 use serde_json::Value;
 
 fn command(kind: CommandKind) -> Command {
-    Command { json: format!("\"{}\"", "x".repeat(20_000)), kind }
+    Command { json: format!("\"{}\"", "x".repeat(20_000)), kind, deadline: None }
 }
 
 /// The number of queued commands in the first batch, and whether it repeats the acknowledgement request.
 fn first_batch(kinds: impl IntoIterator<Item = CommandKind>) -> (usize, bool) {
-    let batch = CommandBatch::next(&kinds.into_iter().map(command).collect());
+    let queue: VecDeque<Command> = kinds.into_iter().map(command).collect();
+    let batch = CommandBatch::next(&queue, queue.len());
     assert!(batch.body.len() <= MAX_BODY_BYTES);
     let sent: Value = serde_json::from_str(&batch.body).unwrap();
     assert_eq!(sent["changes"].as_array().unwrap().len(), batch.sent_commands());
@@ -16,7 +18,7 @@
 }
 
 fn assignment(proxy: u32) -> CommandKind {
-    CommandKind::Assignment { proxy }
+    CommandKind::Assignment { proxy, classes: RequestClassSet::ALL }
 }
 
 fn admission() -> CommandKind {
@@ -50,8 +52,8 @@
 fn a_body_is_filled_up_to_the_limit_and_no_further() {
     let longest = MAX_BODY_BYTES - BODY_START.len() - BODY_END.len() - SEPARATOR.len() - 20_002;
     for (length, commands) in [(longest, 2), (longest + 1, 1)] {
-        let second = Command { json: "1".repeat(length), kind: assignment(2) };
-        let batch = CommandBatch::next(&VecDeque::from([command(assignment(1)), second]));
+        let second = Command { json: "1".repeat(length), kind: assignment(2), deadline: None };
+        let batch = CommandBatch::next(&VecDeque::from([command(assignment(1)), second]), 2);
         assert_eq!(batch.queued_commands, commands);
     }
 }
--- a/control-plane/src/command_delivery.rs
+++ b/control-plane/src/command_delivery.rs
@@ -1,13 +1,13 @@
-//! Delivers commands to the relay, which forwards them to the proxies, one call at a time and in the order in
-//! which they were issued.
+//! Delivers commands to the relay, which forwards them to the proxies, one call at a time.
 //!
-//! Commands stay pending until the relay has accepted or rejected them. After a failed call no other command
-//! is sent before those of that call, and the controller decides when they are resent.
+//! Commands stay queued until the relay has accepted or rejected them. After a failed call, only commands with a
+//! deadline are sent before those of that call, and the controller decides when these are resent.
 
 use crate::call_error::CallError;
 use crate::client::PeerClient;
 use crate::command::Command;
 use crate::command_batch::CommandBatch;
+use crate::command_queue::CommandQueue;
 use hyper::body::Bytes;
 use hyper::{Method, StatusCode};
 use serde_json::Value;
@@ -27,13 +27,15 @@
 /// text.
 const MAX_QUOTED_CHARS: usize = 120;
 
-/// The outcome of an attempt to deliver the pending commands.
+/// The outcome of a call.
 pub enum DeliveryOutcome {
-    /// The relay accepted all pending commands.
+    /// The relay accepted the commands of the call; others are still queued.
+    PartlyAccepted,
+    /// The relay has accepted all commands.
     Accepted,
-    /// The relay rejected this command and accepted all before it. Those after it are still pending.
+    /// The relay rejected this command and accepted all before it. Those after it are still queued.
     Rejected(Command),
-    /// A call failed; its commands are still pending and may be resent.
+    /// The call failed; its commands may be resent.
     Failed(CallError),
     /// The relay reported the same call as invalid twice, which rules out a corrupted response.
     Invalid(CallError),
@@ -44,8 +46,10 @@
     relay_address: watch::Receiver<SocketAddr>,
     client: PeerClient,
     log: Logger,
-    pending: VecDeque<Command>,
-    /// Whether a call has failed since the pending commands were last accepted completely or discarded.
+    queue: CommandQueue,
+    /// Whether commands were queued since the relay last accepted all.
+    has_unaccepted: bool,
+    /// Whether a call has failed since the relay last accepted all commands.
     failing: bool,
     /// Whether the relay reported the latest call as invalid.
     last_call_invalid: bool,
@@ -62,7 +66,8 @@
             relay_address,
             client,
             log,
-            pending: VecDeque::new(),
+            queue: CommandQueue::default(),
+            has_unaccepted: false,
             failing: false,
             last_call_invalid: false,
             calls: 0,
@@ -70,15 +75,19 @@
         }
     }
 
-    /// Whether a call has failed since the pending commands were last accepted completely or discarded.
-    /// Pending commands then wait until the controller requests a resend.
+    /// Whether a call has failed since the relay last accepted all commands.
     pub fn is_failing(&self) -> bool {
         self.failing
     }
 
-    /// Whether there are commands to send, or a failed call to recover from.
-    pub fn needs_delivery(&self) -> bool {
-        !self.pending.is_empty() || self.failing
+    /// Whether [`CommandDelivery::deliver_next`] has an outcome.
+    pub fn can_deliver(&self) -> bool {
+        self.queue.has_sendable() || self.has_accepted_all()
+    }
+
+    /// Whether the relay has accepted all commands, which was not reported yet.
+    fn has_accepted_all(&self) -> bool {
+        self.has_unaccepted && self.queue.len() == 0
     }
 
     /// The number of calls since the start.
@@ -92,58 +101,51 @@
         self.failed_calls
     }
 
-    /// Appends commands to the pending ones. If they include an acknowledgement request, it replaces the one
-    /// of the failed call, so that the acknowledgement shows which of the two calls arrived.
+    /// Queues commands.
     pub fn enqueue(&mut self, commands: VecDeque<Command>) {
-        if commands.iter().any(Command::is_acknowledgement_request) {
-            self.pending.retain(|command| !command.is_acknowledgement_request());
-        }
-        self.pending.extend(commands);
+        self.has_unaccepted |= !commands.is_empty();
+        self.queue.enqueue(commands);
+    }
+
+    /// Queues the commands of failed calls again.
+    pub fn requeue_failed(&mut self) {
+        self.queue.requeue_failed();
+    }
+
+    /// Drops the queued assignments of proxies that are not joined: the relay would reject them, and stop at
+    /// each.
+    pub fn retain_assignments(&mut self, is_joined: impl Fn(u32) -> bool) {
+        self.queue.retain_assignments(is_joined);
     }
 
-    /// Drops the pending commands, because the controller that issued them has been replaced.
+    /// Drops all commands, because the controller that issued them has been replaced.
     pub fn discard_pending(&mut self) {
-        self.pending.clear();
+        self.queue.clear();
+        self.has_unaccepted = false;
         self.failing = false;
         self.last_call_invalid = false;
     }
 
-    /// Sends the pending commands until all are accepted, one is rejected, or a call fails.
-    pub async fn deliver(&mut self) -> DeliveryOutcome {
+    /// Makes the next call. Returns `None` if there is nothing to send.
+    pub async fn deliver_next(&mut self) -> Option<DeliveryOutcome> {
+        if self.has_accepted_all() {
+            return Some(self.all_accepted());
+        }
+        let batch = self.queue.next_batch()?;
+        let queued = batch.queued_commands;
         let previous_call_invalid = std::mem::take(&mut self.last_call_invalid);
-        match self.send_batches().await {
-            Ok(None) => {
-                self.call_succeeded();
-                DeliveryOutcome::Accepted
-            }
-            Ok(Some(rejected)) => {
-                warn!(self.log, "relay rejected a command"; "command" => &rejected.json);
-                DeliveryOutcome::Rejected(rejected)
-            }
+        self.calls += 1;
+        Some(match self.send(batch).await {
+            Ok(accepted) if accepted < queued => self.call_stopped_at(accepted),
+            Ok(_) => self.call_accepted(queued),
             Err(error) => {
                 self.last_call_invalid = matches!(error, CallError::InvalidRequest(_));
                 if self.last_call_invalid && previous_call_invalid {
-                    return DeliveryOutcome::Invalid(error);
+                    return Some(DeliveryOutcome::Invalid(error));
                 }
-                self.call_failed(&error);
-                DeliveryOutcome::Failed(error)
+                self.call_failed(queued, error)
             }
-        }
-    }
-
-    /// Sends one batch after another. Stops at the first command that the relay rejects, and returns it.
-    async fn send_batches(&mut self) -> Result<Option<Command>, CallError> {
-        while !self.pending.is_empty() {
-            let batch = CommandBatch::next(&self.pending);
-            self.calls += 1;
-            let queued = batch.queued_commands;
-            let accepted = self.send(batch).await?;
-            self.pending.drain(..accepted.min(queued));
-            if accepted < queued {
-                return Ok(self.pending.pop_front());
-            }
-        }
-        Ok(None)
+        })
     }
 
     /// Makes one call and returns how many of its commands the relay accepted.
@@ -167,19 +169,41 @@
         }
     }
 
-    fn call_succeeded(&mut self) {
-        if self.failing {
+    fn call_accepted(&mut self, commands: usize) -> DeliveryOutcome {
+        self.queue.accept(commands);
+        if self.has_accepted_all() {
+            return self.all_accepted();
+        }
+        DeliveryOutcome::PartlyAccepted
+    }
+
+    fn all_accepted(&mut self) -> DeliveryOutcome {
+        self.has_unaccepted = false;
+        if std::mem::take(&mut self.failing) {
             info!(self.log, "command delivery recovered");
         }
-        self.failing = false;
+        DeliveryOutcome::Accepted
+    }
+
+    fn call_stopped_at(&mut self, accepted: usize) -> DeliveryOutcome {
+        self.queue.accept(accepted);
+        match self.queue.reject_first() {
+            Some(rejected) => {
+                warn!(self.log, "relay rejected a command"; "command" => &rejected.json);
+                DeliveryOutcome::Rejected(rejected)
+            }
+            None => DeliveryOutcome::PartlyAccepted,
+        }
     }
 
-    fn call_failed(&mut self, error: &CallError) {
+    fn call_failed(&mut self, commands: usize, error: CallError) -> DeliveryOutcome {
         self.failed_calls += 1;
         if !self.failing {
-            warn!(self.log, "command delivery failed"; "why" => #error, "commands" => self.pending.len());
+            warn!(self.log, "command delivery failed"; "why" => #&error, "commands" => self.queue.len());
         }
         self.failing = true;
+        self.queue.fail(commands);
+        DeliveryOutcome::Failed(error)
     }
 }
 
--- a/control-plane/src/control_loop.rs
+++ b/control-plane/src/control_loop.rs
@@ -1,6 +1,7 @@
 //! The task that owns the controller and the clock. Each iteration waits for an event or a timer, passes
-//! everything that is ready to the controller with the same timestamp, and delivers the commands that the
-//! controller issued. After the process was held up, input that has arrived meanwhile is read first.
+//! everything that is ready to the controller with the same timestamp, and makes one call with the commands
+//! that the controller issued. So no event waits for more than one call, however many the commands take. After
+//! the process was held up, input that has arrived meanwhile is read first.
 
 use crate::clock::Clock;
 use crate::command::{Command, CommandKind};
@@ -13,6 +14,7 @@
 use crate::relay_host::RelayHost;
 use crate::status::{LoopStatus, StatusReporter, SNAPSHOT_INTERVAL};
 use otterwinch::controller::Controller;
+use otterwinch::host::Host;
 use otterwinch::time::{Moment, Span};
 use slog::{error, Logger};
 use std::net::SocketAddr;
@@ -67,21 +69,27 @@
         (ControlLoop { controller, clock, events, delivery, status, log }, handles)
     }
 
-    /// Runs until shutdown. A final iteration sends the commands issued so far, and resends those of a failed
-    /// call, since proxies that have not yet moved to another instance still act on them.
+    /// Runs until shutdown. Final iterations send the commands issued so far, and resend those of failed calls,
+    /// since proxies that have not yet moved to another instance still act on them.
     pub async fn run(mut self, shutdown: CancellationToken) {
         while !shutdown.is_cancelled() {
             let first_event = self.wait_for_event(&shutdown).await;
             self.catch_up().await;
             self.run_iteration(first_event).await;
         }
-        self.controller.host_mut().set_resend_requested(true);
+        self.controller.host_mut().resend_commands();
         self.run_iteration(None).await;
+        while self.delivery.can_deliver() {
+            self.run_iteration(None).await;
+        }
     }
 
     /// Waits for an event. Returns `None` when the next timer is due, after [`SNAPSHOT_INTERVAL`] if there is
-    /// none, or at shutdown.
+    /// none, at shutdown, or at once if there are commands to send.
     async fn wait_for_event(&mut self, shutdown: &CancellationToken) -> Option<Event> {
+        if self.delivery.can_deliver() {
+            return self.events.try_recv().ok();
+        }
         let now = self.clock.now();
         let wake_up = self.controller.host_mut().next_timer_due().unwrap_or(now + SNAPSHOT_INTERVAL);
         let pause = Duration::from_micros((wake_up - now).as_us().max(0) as u64);
@@ -108,7 +116,9 @@
         self.controller.host_mut().set_now(now);
         self.handle_events(now, first_event);
         self.fire_timers(now);
-        self.deliver_commands().await;
+        self.queue_commands();
+        self.make_call().await;
+        self.queue_commands();
         self.report_status();
     }
 
@@ -129,58 +139,54 @@
         }
     }
 
-    /// Delivers the commands that the controller has issued, and those that it issues in response to the
-    /// outcome. After a failed call, sends nothing until a resend is requested; the pending commands then go
-    /// first, since the outcome of the failed call may be unknown.
-    async fn deliver_commands(&mut self) {
-        loop {
-            let resend = self.controller.host_mut().take_resend_request();
-            if self.delivery.is_failing() && !resend {
-                return;
+    /// Queues the commands that the controller has issued, and those of failed calls if it requested that.
+    fn queue_commands(&mut self) {
+        let host = self.controller.host_mut();
+        if host.take_resend_request() {
+            self.delivery.requeue_failed();
+        }
+        self.delivery.enqueue(host.take_commands());
+        let joined = host.fleet().proxies();
+        self.delivery.retain_assignments(|proxy| joined.contains_key(&proxy));
+    }
+
+    /// Makes one call, if there are commands to send, and reports its outcome to the controller.
+    async fn make_call(&mut self) {
+        let Some(outcome) = self.delivery.deliver_next().await else { return };
+        let now = self.clock.now();
+        self.controller.host_mut().set_now(now);
+        match outcome {
+            DeliveryOutcome::PartlyAccepted => {}
+            DeliveryOutcome::Accepted => {
+                self.step(now, |controller, now| controller.commands_accepted(now));
             }
-            let commands = self.controller.host_mut().take_commands();
-            self.delivery.enqueue(commands);
-            if !self.delivery.needs_delivery() {
-                return;
+            DeliveryOutcome::Rejected(command) => self.command_rejected(now, command),
+            DeliveryOutcome::Failed(error) => {
+                let may_have_been_executed = error.may_have_been_executed();
+                self.step(now, |controller, now| controller.commands_lost(now, may_have_been_executed));
             }
-            let outcome = self.delivery.deliver().await;
-            let now = self.clock.now();
-            self.controller.host_mut().set_now(now);
-            match outcome {
-                DeliveryOutcome::Accepted => {
-                    self.step(now, |controller, now| controller.commands_accepted(now));
-                }
-                DeliveryOutcome::Rejected(command) => self.command_rejected(now, command),
-                DeliveryOutcome::Failed(error) => {
-                    let may_have_been_executed = error.may_have_been_executed();
-                    self.step(now, |controller, now| controller.commands_lost(now, may_have_been_executed));
-                    return;
-                }
-                // Resending the same call would block all later commands forever.
-                DeliveryOutcome::Invalid(error) => {
-                    error!(self.log, "relay reported a call as invalid twice"; "why" => #error);
-                    self.controller.restart(now);
-                    self.delivery.discard_pending();
-                    return;
-                }
+            // Resending the same call would block all later commands forever.
+            DeliveryOutcome::Invalid(error) => {
+                error!(self.log, "relay reported a call as invalid twice"; "why" => #error);
+                self.controller.restart(now);
+                self.delivery.discard_pending();
             }
         }
     }
 
-    /// Reports a rejected assignment or weight to the controller. If delivery is failing, requests a resend,
-    /// so that the commands after the rejected one are sent immediately.
+    /// Reports a rejected assignment or weight to the controller.
     fn command_rejected(&mut self, now: Moment, command: Command) {
         match command.kind {
-            CommandKind::Assignment { proxy } => {
+            CommandKind::Assignment { proxy, .. } => {
                 self.step(now, |controller, now| controller.assignment_rejected(now, proxy));
             }
             CommandKind::Weight { table, endpoint } => {
                 self.step(now, |controller, _| controller.weight_rejected(table, &endpoint));
             }
-            CommandKind::Admission { .. } | CommandKind::Ejection | CommandKind::AcknowledgementRequest => {}
+            CommandKind::Admission { .. }
+            | CommandKind::Ejection { .. }
+            | CommandKind::AcknowledgementRequest => {}
         }
-        let failing = self.delivery.is_failing();
-        self.controller.host_mut().set_resend_requested(failing);
     }
 
     /// Runs one step of the controller. If it panics, the controller is restarted and the commands of the old
--- a/control-plane/src/main.rs
+++ b/control-plane/src/main.rs
@@ -8,6 +8,7 @@
 mod command;
 mod command_batch;
 mod command_delivery;
+mod command_queue;
 mod config;
 mod config_fault;
 mod config_reload;
--- a/control-plane/src/relay_host.rs
+++ b/control-plane/src/relay_host.rs
@@ -99,11 +99,6 @@
         std::mem::take(&mut self.resend_requested)
     }
 
-    /// Sets or clears the request to resend pending commands.
-    pub fn set_resend_requested(&mut self, requested: bool) {
-        self.resend_requested = requested;
-    }
-
     /// When the next timer is due.
     pub fn next_timer_due(&self) -> Option<Moment> {
         self.timers.next_due()
@@ -137,9 +132,15 @@
 }
 
 impl Host for RelayHost {
-    fn set_endpoint_weight(&mut self, table: u32, endpoint: &EndpointId, weight: f64) {
+    fn set_endpoint_weight(
+        &mut self,
+        table: u32,
+        endpoint: &EndpointId,
+        weight: f64,
+        deadline: Option<Moment>,
+    ) {
         let validation = self.validator.check_weight(table, endpoint, weight);
-        self.issue(validation, Command::set_weight(table, endpoint, weight));
+        self.issue(validation, Command::set_weight(table, endpoint, weight).with_deadline(deadline));
     }
 
     fn assign_table(&mut self, proxy: u32, table: u32, classes: RequestClassSet) {
@@ -147,15 +148,15 @@
         let command = if classes == RequestClassSet::ALL {
             Command::assign_table(proxy, table)
         } else {
-            Command::assign_table_for(proxy, table, &self.class_names(classes))
+            Command::assign_table_for(proxy, table, classes, &self.class_names(classes))
         };
         self.issue(validation, command);
     }
 
-    fn eject_endpoint(&mut self, endpoint: &EndpointId) {
+    fn eject_endpoint(&mut self, endpoint: &EndpointId, deadline: Option<Moment>) {
         self.fleet.endpoint_ejected(endpoint);
         let validation = self.validator.check_ejection(endpoint);
-        self.issue(validation, Command::eject(endpoint));
+        self.issue(validation, Command::eject(endpoint).with_deadline(deadline));
     }
 
     fn restore_endpoint(&mut self, endpoint: &EndpointId) {
--- a/control-plane/tests/sockets/commands.rs
+++ b/control-plane/tests/sockets/commands.rs
@@ -241,3 +241,49 @@
     control_plane.wait_for_log("command delivery recovered");
     assert!(control_plane.http_get("/state").contains(r#""opened":1,"#));
 }
+
+/// Guards against a drain that waits for as many calls as the relay rejects commands: it was read only once all
+/// queued commands had been sent.
+#[test]
+fn a_removal_goes_before_commands_that_the_relay_rejects_one_by_one() {
+    let Testbed { list, relay, control_plane: _control_plane } = Testbed::start_with_proxy();
+    relay.queue_behavior(RelayBehavior::WithholdsRejection);
+    relay.queue_behavior_times(7, RelayBehavior::AcceptsOnly(0));
+    for proxy in 0..7 {
+        relay.join_proxy(proxy);
+    }
+    relay.next_call_with("attach");
+    list.wait_until_up_to_date();
+    list.publish_changes(&[endpoint_entry("a", "leaving")]);
+    // The list is polled again once the control loop has the change.
+    list.wait_until_up_to_date();
+    relay.release_response();
+    let removes =
+        |command: &Value| command["op"] == "put" && command["endpoint"] == "a" && command["w"] == 0.0;
+    let calls: Vec<Vec<Value>> = (0..3).map(|_| relay.next_call()).collect();
+    assert!(calls.iter().any(|call| removes(&call[0])), "{calls:?}");
+}
+
+/// Guards against assignments of proxies that left while their call failed: the relay rejects each of them, and
+/// each costs a call of its own.
+#[test]
+fn a_failed_call_is_resent_without_the_assignments_of_proxies_that_left() {
+    let Testbed { relay, control_plane, .. } = Testbed::start_with_proxy();
+    relay.queue_behavior_times(100, RelayBehavior::ClosesConnection);
+    relay.join_proxy(8);
+    relay.join_proxy(9);
+    let assigned = |call: &[Value], proxy: u32| call.iter().any(|command| command["node"] == proxy);
+    wait_for("a call that assigns both proxies", || {
+        let call = relay.next_call();
+        (assigned(&call, 8) && assigned(&call, 9)).then_some(())
+    });
+    relay.remove_proxy(8);
+    control_plane.wait_for_status(r#""proxies":2,"#);
+    while relay.try_next_call().is_some() {}
+    // The call before the next may have been made before the proxy left.
+    relay.next_call();
+    for _ in 0..3 {
+        let call = relay.next_call();
+        assert!(assigned(&call, 9) && !assigned(&call, 8), "{call:?}");
+    }
+}
--- a/control-plane/tests/sockets/support/relay.rs
+++ b/control-plane/tests/sockets/support/relay.rs
@@ -39,6 +39,8 @@
     DoesNotRespond,
     /// Accepts all commands but sends the response only after `release_response`.
     WithholdsResponse,
+    /// Rejects the first command, and sends the response only after `release_response`.
+    WithholdsRejection,
     /// Reads the call and resets the connection without a response.
     ResetsConnection,
     /// Accepts all commands and truncates the response to this number of bytes.
@@ -159,6 +161,10 @@
                 self.wait_for_release();
                 send_response(stream, "200 OK", &accepted);
             }
+            RelayBehavior::WithholdsRejection => {
+                self.wait_for_release();
+                send_response(stream, "200 OK", &json!({"taken": 0}).to_string());
+            }
             RelayBehavior::ResetsConnection => {
                 enable_reset_on_close(stream);
                 return ConnectionAction::StopReading;
@@ -244,6 +250,16 @@
         stream.snapshot_lines.push(line);
     }
 
+    /// Announces on the event stream that a proxy has left.
+    pub fn remove_proxy(&self, proxy: u32) {
+        let line = json!({"type": "bye", "object": {"node": proxy}}).to_string();
+        let mut stream = self.shared.event_stream.lock().unwrap();
+        for connection in &mut stream.connections {
+            send_chunk(connection, &format!("{line}\n"));
+        }
+        stream.snapshot_lines.push(line);
+    }
+
     /// Closes the event stream. New connections to it begin with these lines.
     pub fn close_event_stream_and_list(&self, lines: &[Value]) {
         let mut stream = self.shared.event_stream.lock().unwrap();
--- a/simulation/src/simulated_host.rs
+++ b/simulation/src/simulated_host.rs
@@ -2,7 +2,7 @@
 //! emulator to process.
 
 use otterwinch::host::{EndpointId, Host, RequestClassSet, RetryPolicy, Timer};
-use otterwinch::time::Span;
+use otterwinch::time::{Moment, Span};
 use rustc_hash::FxHashMap;
 use std::rc::Rc;
 
@@ -73,7 +73,13 @@
 }
 
 impl Host for SimulatedHost {
-    fn set_endpoint_weight(&mut self, table_id: u32, id: &EndpointId, weight: f64) {
+    fn set_endpoint_weight(
+        &mut self,
+        table_id: u32,
+        id: &EndpointId,
+        weight: f64,
+        _deadline: Option<Moment>,
+    ) {
         if let Some(endpoint) = self.endpoint_indices.get(id).copied() {
             self.commands.push(Command::SetWeight { table_id, endpoint, weight });
         }
@@ -86,7 +92,7 @@
         self.commands.push(Command::AssignTable { proxy, table_id });
     }
 
-    fn eject_endpoint(&mut self, id: &EndpointId) {
+    fn eject_endpoint(&mut self, id: &EndpointId, _deadline: Option<Moment>) {
         self.set_ejected(id, true);
     }
 
--- a/simulator-adapter/src/adapter/tests.rs
+++ b/simulator-adapter/src/adapter/tests.rs
@@ -112,9 +112,9 @@
     let mut adapter = adapter_with_endpoints(&["a:1"]);
     let host = adapter.instances.get_mut(&3).unwrap().host_mut();
     host.assign_table(5, 0, RequestClassSet::ALL);
-    host.set_endpoint_weight(0, &"unlisted:1".into(), 1.0);
-    host.set_endpoint_weight(0, &"a:1".into(), -1.0);
-    host.set_endpoint_weight(65_535, &"a:1".into(), 1.0);
+    host.set_endpoint_weight(0, &"unlisted:1".into(), 1.0, None);
+    host.set_endpoint_weight(0, &"a:1".into(), -1.0, None);
+    host.set_endpoint_weight(65_535, &"a:1".into(), 1.0, None);
     assert!(host.encoded_commands.is_empty());
 }
 
--- a/simulator-adapter/src/wire_host.rs
+++ b/simulator-adapter/src/wire_host.rs
@@ -5,7 +5,7 @@
 use crate::encode;
 use otterwinch::config::ControllerConfig;
 use otterwinch::host::{EndpointId, Host, RequestClassSet, RetryPolicy, Timer};
-use otterwinch::time::Span;
+use otterwinch::time::{Moment, Span};
 use otterwinch_adapter_support::{CommandValidator, InvalidCommand};
 use serde_json::{json, Value};
 
@@ -53,7 +53,13 @@
 }
 
 impl Host for WireHost {
-    fn set_endpoint_weight(&mut self, table: u32, endpoint: &EndpointId, weight: f64) {
+    fn set_endpoint_weight(
+        &mut self,
+        table: u32,
+        endpoint: &EndpointId,
+        weight: f64,
+        _deadline: Option<Moment>,
+    ) {
         let fields = json!({"mapId": table, "server": &**endpoint, "weight": weight});
         self.send_if_valid(self.validator.check_weight(table, endpoint, weight), "ENDPOINT", fields);
     }
@@ -64,7 +70,7 @@
         self.send_if_valid(self.validator.check_assignment(proxy, table), "INSTALL", fields);
     }
 
-    fn eject_endpoint(&mut self, endpoint: &EndpointId) {
+    fn eject_endpoint(&mut self, endpoint: &EndpointId, _deadline: Option<Moment>) {
         self.send_ejection(endpoint, true);
     }
 
--- a/src/channel_backlog.rs
+++ b/src/channel_backlog.rs
@@ -24,6 +24,14 @@
     lines_by_proxy: BTreeMap<u32, f64>,
 }
 
+/// Messages to one proxy that are not known to have entered the channel.
+#[derive(Debug, Default)]
+struct Undelivered {
+    lines: f64,
+    /// When the latest of them was recorded.
+    latest: Moment,
+}
+
 /// Tracks the lines that were sent into the channel and may not have left it yet.
 ///
 /// ```
@@ -37,8 +45,8 @@
 /// assert_eq!(backlog.queued_lines(now), 8.0);
 /// assert_eq!(backlog.queued_lines(now + Span::from_secs(1.0)), 6.0);
 /// assert_eq!(backlog.recent_messages(now, 1, Span::from_secs(1.0)), [now]);
-/// assert_eq!(backlog.record_resend(now + Span::from_secs(1.0), now), (8.0, Some(2)));
-/// assert_eq!(backlog.queued_lines(now + Span::from_secs(1.0)), 15.0);
+/// assert_eq!(backlog.record_resend(now + Span::from_secs(1.0)), (7.0, Some(2)));
+/// assert_eq!(backlog.queued_lines(now + Span::from_secs(1.0)), 14.0);
 /// ```
 #[derive(Debug, Default)]
 pub struct ChannelBacklog {
@@ -53,6 +61,8 @@
     /// When lines were last recorded or acknowledged.
     pub last_activity: Moment,
     message_times: BTreeMap<u32, VecDeque<Moment>>,
+    /// The messages, by proxy, that are not known to have entered the channel.
+    undelivered: BTreeMap<u32, Undelivered>,
     last_acknowledgement_number: u32,
 }
 
@@ -74,10 +84,18 @@
 
     /// Records lines sent to a proxy. Lines sent to it at the same time form one message, with one overhead.
     pub fn record(&mut self, now: Moment, proxy: u32, lines: f64, overhead: f64) {
+        let recorded = self.record_message(now, proxy, lines, overhead);
+        let undelivered = self.undelivered.entry(proxy).or_default();
+        undelivered.lines += recorded;
+        undelivered.latest = now;
+    }
+
+    /// Records lines and returns how many these are with the overhead.
+    fn record_message(&mut self, now: Moment, proxy: u32, lines: f64, overhead: f64) -> f64 {
         if self.batches.back().is_none_or(|batch| batch.sent_at != now) {
             self.start_batch(now);
         }
-        let Some(batch) = self.batches.back_mut() else { return };
+        let Some(batch) = self.batches.back_mut() else { return 0.0 };
         let is_new_message = !batch.lines_by_proxy.contains_key(&proxy);
         let lines = if is_new_message { lines + overhead } else { lines };
         *batch.lines_by_proxy.entry(proxy).or_default() += lines;
@@ -87,6 +105,12 @@
         self.set_queued(now, self.queued_lines(now) + lines);
         self.recorded_lines += lines;
         self.last_activity = now;
+        lines
+    }
+
+    /// Handles the confirmation that all messages recorded so far have entered the channel.
+    pub fn delivered(&mut self) {
+        self.undelivered.clear();
     }
 
     fn start_batch(&mut self, now: Moment) {
@@ -114,15 +138,19 @@
         self.queued_at = now;
     }
 
-    /// If the latest batch was sent at `sent_at`, records a copy of its unacknowledged messages as sent now,
-    /// since the channel may carry both. Returns the copy's lines and the number that acknowledges it.
-    pub fn record_resend(&mut self, now: Moment, sent_at: Moment) -> (f64, Option<u32>) {
-        let latest = self.batches.back().filter(|batch| batch.sent_at == sent_at);
-        let lines_by_proxy = latest.map(|batch| batch.lines_by_proxy.clone()).unwrap_or_default();
-        for (proxy, lines) in &lines_by_proxy {
-            self.record(now, *proxy, *lines, 0.0);
+    /// Records a copy of the messages that are not known to have entered the channel as sent now, since the
+    /// channel may carry both. Returns the copy's lines and the number that acknowledges it.
+    pub fn record_resend(&mut self, now: Moment) -> (f64, Option<u32>) {
+        let mut copied_lines = 0.0;
+        for (proxy, lines) in self.undelivered_lines() {
+            copied_lines += self.record_message(now, proxy, lines, 0.0);
         }
-        (lines_by_proxy.values().sum(), self.request_acknowledgement(now))
+        (copied_lines, self.request_acknowledgement(now))
+    }
+
+    /// The proxies with messages that are not known to have entered the channel, and the lines of these.
+    fn undelivered_lines(&self) -> Vec<(u32, f64)> {
+        self.undelivered.iter().map(|(proxy, undelivered)| (*proxy, undelivered.lines)).collect()
     }
 
     /// Numbers the batch that is sent now, which makes each of its messages one line longer. Returns the
@@ -147,6 +175,10 @@
     pub fn acknowledged(&mut self, now: Moment, number: u32, proxy: u32) {
         let Some(position) = self.batches.iter().position(|batch| batch.number == number) else { return };
         self.batches.drain(..position);
+        let sent_at = self.batches[0].sent_at;
+        if self.undelivered.get(&proxy).is_some_and(|undelivered| undelivered.latest <= sent_at) {
+            self.undelivered.remove(&proxy);
+        }
         let batch = &mut self.batches[0];
         batch.cleared_lines += batch.lines_by_proxy.remove(&proxy).unwrap_or(0.0);
         let remaining = self.recorded_lines - batch.cleared_lines;
@@ -161,16 +193,17 @@
         times.make_contiguous()
     }
 
-    /// The number of entries kept in memory: unacknowledged messages and message times.
+    /// The number of entries kept in memory: unacknowledged and undelivered messages, and message times.
     pub fn retained_entries(&self) -> usize {
         let unacknowledged: usize = self.batches.iter().map(|batch| batch.lines_by_proxy.len()).sum();
         let times: usize = self.message_times.values().map(VecDeque::len).sum();
-        unacknowledged + times
+        unacknowledged + times + self.undelivered.len()
     }
 
     /// Handles the end of a proxy's stream: lines queued for it are lost and will not be acknowledged.
     pub fn proxy_left(&mut self, now: Moment, proxy: u32) {
         self.message_times.remove(&proxy);
+        self.undelivered.remove(&proxy);
         let lost: f64 = self.batches.iter_mut().filter_map(|batch| batch.lines_by_proxy.remove(&proxy)).sum();
         self.set_queued(now, (self.queued_lines(now) - lost).max(0.0));
     }
--- a/src/controller/delivery.rs
+++ b/src/controller/delivery.rs
@@ -1,8 +1,8 @@
 //! Handling of lost commands and lost acknowledgements.
 //!
 //! Commands that were lost, or may have been, are resent; only their acknowledgement request may be added or
-//! replaced. No other commands are sent until they are accepted, since commands queued up behind them would
-//! arrive in one burst. If all outstanding acknowledgements are lost while the queue is long, because their
+//! replaced. Until they are accepted, only commands with a deadline are sent, since all others would queue up
+//! and arrive in one burst. If all outstanding acknowledgements are lost while the queue is long, because their
 //! proxies left or the event stream broke, one proxy is assigned to a table of its own again so that it sends
 //! a new acknowledgement.
 
@@ -18,13 +18,10 @@
 /// channel needs to send its queue plus this many maximum transit times.
 const ACKNOWLEDGEMENT_TIMEOUT_TRANSITS: f64 = 2.0;
 
-/// The delivery state of the latest commands.
+/// The delivery state of the commands issued so far.
 #[derive(Default)]
 pub(super) struct DeliveryState {
-    /// When commands were last determined, even if none had to be sent, or when the possible duplicates of
-    /// lost ones were last recorded in the backlog.
-    pub(super) last_issue_time: Moment,
-    /// Whether the latest commands were lost, or may have been, and have not been accepted since.
+    /// Whether commands were lost, or may have been, and not all have been accepted since.
     pub(super) is_resend_pending: bool,
 }
 
@@ -37,10 +34,9 @@
         if may_have_arrived {
             // If the commands did arrive, their lines are queued twice. An acknowledgement of the resent
             // commands covers both.
-            let (lines, number) = self.channel.backlog.record_resend(now, self.delivery.last_issue_time);
+            let (lines, number) = self.channel.backlog.record_resend(now);
             if let Some(number) = number {
                 self.host.request_acknowledgement(number);
-                self.delivery.last_issue_time = now;
             }
             // Gives the channel time to carry the possible copy.
             resend_delay = resend_delay + Span::from_secs(lines / self.config.channel_rate.max(1.0));
--- a/src/controller/delivery/tests.rs
+++ b/src/controller/delivery/tests.rs
@@ -1,7 +1,7 @@
 use crate::config::ControllerConfig;
-use crate::host::Timer;
+use crate::host::{EndpointUpdate, Timer};
 use crate::test_support::{
-    at, config, draining, eject, running_controller, schedule_timer, set_weight, Command,
+    at, config, draining, eject, ready, running_controller, schedule_timer, set_weight, Command,
 };
 use crate::time::Span;
 
@@ -31,22 +31,31 @@
 }
 
 #[test]
-fn lost_commands_are_resent_and_nothing_overtakes_them() {
+fn lost_commands_are_resent_and_nothing_without_a_deadline_overtakes_them() {
     let mut controller = running_controller(config(), &["a", "b"], 1);
     controller.commands_lost(at(2.0), false);
-    controller.endpoints_updated(at(2.0), &[draining("a")]);
+    controller.endpoints_updated(at(2.0), &[ready("c"), EndpointUpdate { weight: 5.0, ..ready("b") }]);
     controller.timer_fired(at(2.1), Timer::Resend);
     let resend_soon = schedule_timer(Timer::Resend, Span::from_us(50_000));
     assert_eq!(controller.host.commands, [resend_soon, Command::ResendCommands]);
 }
 
+/// Guards against a drain that waits until lost commands are accepted: its grace runs on meanwhile.
+#[test]
+fn a_removal_is_issued_while_lost_commands_wait_to_be_resent() {
+    let mut controller = running_controller(config(), &["a", "b"], 1);
+    controller.commands_lost(at(2.0), false);
+    controller.endpoints_updated(at(2.0), &[draining("a"), ready("c")]);
+    assert_eq!(controller.host.commands[1..], [set_weight(0, "a", 0.0), eject("a")]);
+}
+
 #[test]
 fn deferred_commands_are_sent_once_the_lost_ones_are_accepted() {
     let mut controller = running_controller(config(), &["a", "b"], 1);
     controller.commands_lost(at(2.0), false);
-    controller.endpoints_updated(at(2.0), &[draining("a")]);
+    controller.endpoints_updated(at(2.0), &[ready("c")]);
     controller.commands_accepted(at(2.1));
-    assert_eq!(controller.host.commands[1..], [set_weight(0, "a", 0.0), eject("a")]);
+    assert_eq!(controller.host.commands[1..], [set_weight(0, "c", 2.0)]);
 }
 
 #[test]
@@ -60,6 +69,7 @@
 #[test]
 fn lost_commands_without_receivers_are_resent_without_extra_delay() {
     let mut controller = running_controller(config(), &["a", "b"], 1);
+    controller.commands_accepted(at(0.5));
     let recorded = controller.channel.backlog.recorded_lines;
     controller.issue_commands(at(1.0));
     controller.commands_lost(at(1.0), true);
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -215,14 +215,15 @@
         }
     }
 
-    /// Handles a failed delivery of the latest commands. `may_have_arrived` means that they may have arrived
-    /// nevertheless.
+    /// Handles a failed delivery of commands that were not accepted yet. `may_have_arrived` means that they may
+    /// have arrived nevertheless. Until all are accepted, only commands with a deadline are issued.
     pub fn commands_lost(&mut self, now: Moment, may_have_arrived: bool) {
         self.schedule_resend(now, may_have_arrived);
     }
 
-    /// Handles the confirmation that the latest commands were accepted.
+    /// Handles the confirmation that all commands issued so far were accepted.
     pub fn commands_accepted(&mut self, now: Moment) {
+        self.channel.backlog.delivered();
         if std::mem::take(&mut self.delivery.is_resend_pending) {
             self.issue_commands(now);
         }
@@ -307,13 +308,13 @@
     /// Issues all commands that are due and that fit into the channel.
     fn issue_commands(&mut self, now: Moment) {
         if self.delivery.is_resend_pending {
+            self.issue_commands_with_deadline(now);
             return;
         }
         if self.config.shards > 0 {
             self.publish_shards(now);
             return;
         }
-        self.delivery.last_issue_time = now;
         let limits = ChannelLimits::new(&self.config, &self.endpoints);
         let is_queue_short = self.channel.is_queue_short(now, &limits);
         let ordinary_due = self.publication.is_due(now) && !self.assignments_take_priority();
@@ -328,6 +329,20 @@
         self.request_acknowledgement(now, &limits);
     }
 
+    /// Issues only commands with a deadline: they must not wait until earlier commands are accepted.
+    fn issue_commands_with_deadline(&mut self, now: Moment) {
+        if self.config.shards > 0 {
+            return;
+        }
+        let limits = ChannelLimits::new(&self.config, &self.endpoints);
+        let is_queue_short = self.channel.is_queue_short(now, &limits);
+        self.publish_changes_with_deadline(now, &limits, is_queue_short);
+        if self.eject_from_stale_tables(now, &limits, is_queue_short) {
+            self.schedule_recheck();
+        }
+        self.request_acknowledgement(now, &limits);
+    }
+
     /// Schedules a recheck unless one is already pending.
     fn schedule_recheck(&mut self) {
         if self.timers.mark_scheduled(Timer::Recheck) {
--- a/src/controller/publication.rs
+++ b/src/controller/publication.rs
@@ -77,16 +77,37 @@
         has_deferred
     }
 
+    /// Publishes the changes with a deadline that fit into the channel, and nothing else. Used while earlier
+    /// commands are not accepted yet.
+    pub(super) fn publish_changes_with_deadline(
+        &mut self,
+        now: Moment,
+        limits: &ChannelLimits,
+        is_queue_short: bool,
+    ) {
+        let mut pending = self.all_changes(now, limits);
+        for table in &mut pending {
+            table.changes.retain(|change| change.urgency.deadline().is_some());
+        }
+        let mut batch = UrgentBatch::new(&pending);
+        let available = self.channel.available_lines(now, batch.urgency, &batch.receivers, limits);
+        if is_queue_short {
+            batch.fill(available, &pending, limits);
+        }
+        if !batch.is_complete() {
+            self.schedule_recheck();
+        }
+        for mut table in pending {
+            batch.retain_sendable(&mut table.changes, 0);
+            self.send_changes(now, limits, table, false);
+        }
+    }
+
     /// Computes the changes of all tables. Returns those of tables with receivers; the others cost no lines
     /// and are sent immediately.
     fn collect_changes(&mut self, now: Moment, limits: &ChannelLimits) -> Vec<TableChanges> {
-        let snapshot = self.routing_snapshot(now, limits);
-        let mut receivers_by_table = self.proxies.receivers_by_table();
         let mut pending = Vec::new();
-        for number in self.tables.by_number.keys().copied().collect::<Vec<_>>() {
-            let receivers = receivers_by_table.remove(&number).unwrap_or_default();
-            let changes = self.table_changes(now, limits, number, receivers.len(), &snapshot);
-            let table = TableChanges { table: number, receivers, changes };
+        for table in self.all_changes(now, limits) {
             if table.receivers.is_empty() {
                 self.send_changes(now, limits, table, true);
             } else {
@@ -96,6 +117,19 @@
         pending
     }
 
+    /// Computes the changes of all tables.
+    fn all_changes(&mut self, now: Moment, limits: &ChannelLimits) -> Vec<TableChanges> {
+        let snapshot = self.routing_snapshot(now, limits);
+        let mut receivers_by_table = self.proxies.receivers_by_table();
+        let mut all = Vec::new();
+        for number in self.tables.by_number.keys().copied().collect::<Vec<_>>() {
+            let receivers = receivers_by_table.remove(&number).unwrap_or_default();
+            let changes = self.table_changes(now, limits, number, receivers.len(), &snapshot);
+            all.push(TableChanges { table: number, receivers, changes });
+        }
+        all
+    }
+
     fn routing_snapshot(&self, now: Moment, limits: &ChannelLimits) -> RoutingSnapshot {
         let rates_by_zone = self.proxies.rates_by_zone();
         let collapse_multiple = self.config.collapse_multiple;
@@ -204,7 +238,7 @@
         let Some(table) = self.tables.by_number.get_mut(&number) else { return };
         let mut commands: u32 = 0;
         let mut restored = 0;
-        for WeightChange { id, weight, .. } in changes {
+        for WeightChange { id, weight, urgency, .. } in changes {
             // A returning endpoint may be cold, so its ejection is lifted only together with its new weight.
             let endpoint = self.endpoints.get_mut(&id);
             if let Some(endpoint) = endpoint.filter(|endpoint| endpoint.ejected && endpoint.is_ready()) {
@@ -212,7 +246,7 @@
                 self.host.restore_endpoint(&id);
                 restored += 1;
             }
-            self.host.set_endpoint_weight(number, &id, weight);
+            self.host.set_endpoint_weight(number, &id, weight, urgency.deadline());
             commands += 1;
             table.publish_weight(id, weight);
         }
--- a/src/controller/publication/tests.rs
+++ b/src/controller/publication/tests.rs
@@ -43,10 +43,10 @@
     for (accepted_at, removals) in [(4.0, 1), (2.3, 0)] {
         let mut controller = running_controller(config(), &["a", "b"], 1);
         controller.commands_lost(at(2.0), false);
-        controller.endpoints_updated(at(2.0), &[draining("a")]);
         for message in 0..6 {
-            controller.channel.backlog.record(at(accepted_at - 0.2 + 0.01 * f64::from(message)), 0, 1.0, 0.0);
+            controller.channel.backlog.record(at(1.9 + 0.01 * f64::from(message)), 0, 1.0, 0.0);
         }
+        controller.endpoints_updated(at(2.0), &[draining("a")]);
         controller.commands_accepted(at(accepted_at));
         assert_eq!(controller.host.weight_count(), removals, "accepted at {accepted_at} s");
     }
--- a/src/controller/sharding.rs
+++ b/src/controller/sharding.rs
@@ -7,6 +7,7 @@
 
 use super::admission::RETRY_POLICY;
 use super::slow_start::{slow_start_weights, EndpointWeight};
+use super::urgency::Urgency;
 use super::Controller;
 use crate::host::{EndpointId, Host, RequestClassSet};
 use crate::time::{Moment, Span};
@@ -85,7 +86,9 @@
             }
             endpoint.ejected = should_be_ejected;
             if should_be_ejected {
-                self.host.eject_endpoint(id);
+                let due_since = endpoint.unready_since();
+                let urgency = due_since.map(|since| Urgency::within_grace(since, &self.config));
+                self.host.eject_endpoint(id, urgency.and_then(Urgency::deadline));
             } else {
                 self.host.restore_endpoint(id);
             }
@@ -121,10 +124,10 @@
         let former = std::mem::take(&mut shard.weights);
         if !self.config.single_writer {
             for id in former.keys() {
-                self.host.set_endpoint_weight(number, id, 0.0);
+                self.host.set_endpoint_weight(number, id, 0.0, None);
             }
         }
-        self.host.set_endpoint_weight(number, id, 1.0);
+        self.host.set_endpoint_weight(number, id, 1.0, None);
         shard.weights.insert(id.clone(), 1.0);
     }
 
--- a/src/controller/urgency.rs
+++ b/src/controller/urgency.rs
@@ -23,6 +23,14 @@
         Urgency::Deadline(since + (config.drain_grace - config.max_transit))
     }
 
+    /// When the command must have been sent, if it has a deadline.
+    pub(super) fn deadline(self) -> Option<Moment> {
+        match self {
+            Urgency::Deadline(deadline) => Some(deadline),
+            Urgency::Prompt | Urgency::Ordinary => None,
+        }
+    }
+
     /// Whether it is [`Urgency::Ordinary`].
     pub(super) fn is_ordinary(self) -> bool {
         self == Urgency::Ordinary
--- a/src/host.rs
+++ b/src/host.rs
@@ -117,13 +117,21 @@
 /// Commands take effect in the order of the calls; those issued at the same time go to each proxy as one
 /// message.
 pub trait Host {
-    /// Sets the weight of an endpoint in a route table; weight 0 removes it.
-    fn set_endpoint_weight(&mut self, table: u32, endpoint: &EndpointId, weight: f64);
+    /// Sets the weight of an endpoint in a route table; weight 0 removes it. A command with a `deadline` must
+    /// have been sent by then, so a host that queues commands sends it before those without one.
+    fn set_endpoint_weight(
+        &mut self,
+        table: u32,
+        endpoint: &EndpointId,
+        weight: f64,
+        deadline: Option<Moment>,
+    );
     /// Assigns a route table to a joined proxy for some request classes, in place of the table that it has
     /// for them.
     fn assign_table(&mut self, proxy: u32, table: u32, classes: RequestClassSet);
-    /// Stops all joined proxies from using an endpoint, whichever tables they are assigned.
-    fn eject_endpoint(&mut self, endpoint: &EndpointId);
+    /// Stops all joined proxies from using an endpoint, whichever tables they are assigned. `deadline` as for a
+    /// weight.
+    fn eject_endpoint(&mut self, endpoint: &EndpointId, deadline: Option<Moment>);
     /// Lifts the ejection of an endpoint.
     fn restore_endpoint(&mut self, endpoint: &EndpointId);
     /// Allows the host to discard what it keeps about an endpoint that was removed long ago: no command names
