Copies of reset calls wait for the acknowledgement that tells whether they count

Cause: the failed call is made 11 more times within 1.5 s, and each copy counted as a message to each proxy: 12 of 12 in 10 s, of which the proxies got one.

Change: a copy requests an acknowledgement, which arrives if it was carried out. Of several copies the latest counts, and each that was acknowledged. An acknowledgement that a failed call requested shows that it was carried out: its commands are not sent again.

Tests changed: two tests of delivery fire the resend timer, as the copy is counted when it is made and no longer when the call fails; what they demand is the same.

--- a/control-plane/src/command.rs
+++ b/control-plane/src/command.rs
@@ -3,6 +3,10 @@
 use otterwinch::host::{EndpointId, RequestClassSet, RetryPolicy};
 use otterwinch::time::Moment;
 use serde_json::{json, Value};
+use std::collections::VecDeque;
+
+/// A command is resent at intervals that are longer than an acknowledgement usually takes.
+const MAX_REQUESTED_ACKNOWLEDGEMENTS: usize = 4;
 
 /// One command for the relay.
 pub struct Command {
@@ -12,6 +16,8 @@
     pub kind: CommandKind,
     /// When it must have been sent; `None` if there is no such time.
     pub deadline: Option<Moment>,
+    /// The numbers of the acknowledgements that the latest calls with this command requested.
+    pub requested_acknowledgements: VecDeque<u32>,
 }
 
 /// The kind of a command, with the fields that batching and the handling of a rejection need.
@@ -41,7 +47,10 @@
         endpoint: EndpointId,
     },
     /// Requests that proxies acknowledge the preceding commands.
-    AcknowledgementRequest,
+    AcknowledgementRequest {
+        /// The number that the acknowledgements carry.
+        number: u32,
+    },
 }
 
 /// The object that a command is about. A later command about the same object makes an earlier one obsolete.
@@ -109,12 +118,21 @@
 
     /// Requests an acknowledgement that carries `number`.
     pub fn request_acknowledgement(number: u32) -> Self {
-        Command::new(json!({"op": "fence", "nonce_out": number}), CommandKind::AcknowledgementRequest)
+        let value = json!({"op": "fence", "nonce_out": number});
+        Command::new(value, CommandKind::AcknowledgementRequest { number })
     }
 
     /// Whether this command requests an acknowledgement.
     pub fn is_acknowledgement_request(&self) -> bool {
-        matches!(self.kind, CommandKind::AcknowledgementRequest)
+        self.acknowledgement_number().is_some()
+    }
+
+    /// The number of the acknowledgement that the command requests, if it does.
+    pub fn acknowledgement_number(&self) -> Option<u32> {
+        match self.kind {
+            CommandKind::AcknowledgementRequest { number } => Some(number),
+            _ => None,
+        }
     }
 
     /// The same command with a deadline, if there is one.
@@ -122,6 +140,14 @@
         Command { deadline, ..self }
     }
 
+    /// Records that a call with this command requested an acknowledgement.
+    pub fn record_requested_acknowledgement(&mut self, number: u32) {
+        if self.requested_acknowledgements.len() == MAX_REQUESTED_ACKNOWLEDGEMENTS {
+            self.requested_acknowledgements.pop_front();
+        }
+        self.requested_acknowledgements.push_back(number);
+    }
+
     /// The object that the command is about; `None` if no later command makes it obsolete.
     pub fn key(&self) -> Option<CommandKey> {
         match &self.kind {
@@ -132,7 +158,7 @@
                 Some(CommandKey::Weight { table: *table, endpoint: endpoint.clone() })
             }
             CommandKind::Ejection { endpoint } => Some(CommandKey::Ejection { endpoint: endpoint.clone() }),
-            CommandKind::Admission { .. } | CommandKind::AcknowledgementRequest => None,
+            CommandKind::Admission { .. } | CommandKind::AcknowledgementRequest { .. } => None,
         }
     }
 
@@ -145,7 +171,7 @@
     }
 
     fn new(value: Value, kind: CommandKind) -> Self {
-        Command { json: value.to_string(), kind, deadline: None }
+        Command { json: value.to_string(), kind, deadline: None, requested_acknowledgements: VecDeque::new() }
     }
 }
 
@@ -153,7 +179,7 @@
     /// Whether `next`, the command directly after this one, reaches the same proxies.
     pub fn reaches_same_proxies(&self, next: &CommandKind) -> bool {
         match (self, next) {
-            (_, CommandKind::AcknowledgementRequest)
+            (_, CommandKind::AcknowledgementRequest { .. })
             | (CommandKind::Ejection { .. }, CommandKind::Ejection { .. }) => true,
             (CommandKind::Assignment { proxy, .. }, CommandKind::Assignment { proxy: next, .. }) => {
                 proxy == next
@@ -169,7 +195,7 @@
             CommandKind::Weight { table, .. } | CommandKind::Admission { table } => Some(*table),
             CommandKind::Assignment { .. }
             | CommandKind::Ejection { .. }
-            | CommandKind::AcknowledgementRequest => None,
+            | CommandKind::AcknowledgementRequest { .. } => None,
         }
     }
 }
--- a/control-plane/src/command_batch.rs
+++ b/control-plane/src/command_batch.rs
@@ -21,6 +21,8 @@
     pub body: String,
     /// The number of commands that it takes from the front of the queue.
     pub queued_commands: usize,
+    /// The number of the acknowledgement that the body requests, if it does.
+    pub acknowledgement: Option<u32>,
     /// Whether the body ends with a copy of an acknowledgement request that itself stays in the queue.
     pub repeats_acknowledgement_request: bool,
 }
@@ -38,6 +40,7 @@
         CommandBatch {
             body: [BODY_START, &commands_json.join(SEPARATOR), BODY_END].concat(),
             queued_commands,
+            acknowledgement: request.and_then(Command::acknowledgement_number),
             repeats_acknowledgement_request: repeated.is_some(),
         }
     }
--- a/control-plane/src/command_batch/tests.rs
+++ b/control-plane/src/command_batch/tests.rs
@@ -4,7 +4,11 @@
 use serde_json::Value;
 
 fn command(kind: CommandKind) -> Command {
-    Command { json: format!("\"{}\"", "x".repeat(20_000)), kind, deadline: None }
+    command_with_json(format!("\"{}\"", "x".repeat(20_000)), kind)
+}
+
+fn command_with_json(json: String, kind: CommandKind) -> Command {
+    Command { json, kind, deadline: None, requested_acknowledgements: VecDeque::new() }
 }
 
 /// The number of queued commands in the first batch, and whether it repeats the acknowledgement request.
@@ -44,7 +48,8 @@
 
 #[test]
 fn each_batch_repeats_the_acknowledgement_request() {
-    let kinds = [assignment(1), assignment(2), assignment(3), CommandKind::AcknowledgementRequest];
+    let kinds =
+        [assignment(1), assignment(2), assignment(3), CommandKind::AcknowledgementRequest { number: 9 }];
     assert_eq!(first_batch(kinds), (1, true));
 }
 
@@ -52,7 +57,7 @@
 fn a_body_is_filled_up_to_the_limit_and_no_further() {
     let longest = MAX_BODY_BYTES - BODY_START.len() - BODY_END.len() - SEPARATOR.len() - 20_002;
     for (length, commands) in [(longest, 2), (longest + 1, 1)] {
-        let second = Command { json: "1".repeat(length), kind: assignment(2), deadline: None };
+        let second = command_with_json("1".repeat(length), assignment(2));
         let batch = CommandBatch::next(&VecDeque::from([command(assignment(1)), second]), 2);
         assert_eq!(batch.queued_commands, commands);
     }
--- a/control-plane/src/command_delivery.rs
+++ b/control-plane/src/command_delivery.rs
@@ -118,6 +118,14 @@
         self.queue.retain_assignments(is_joined);
     }
 
+    /// Handles an acknowledgement: a failed call that requested it has been carried out, and its commands need
+    /// not be sent again.
+    pub fn acknowledged(&mut self, number: u32) {
+        if self.queue.acknowledged(number) {
+            info!(self.log, "failed call was carried out"; "acknowledgement" => number);
+        }
+    }
+
     /// Drops all commands, because the controller that issued them has been replaced.
     pub fn discard_pending(&mut self) {
         self.queue.clear();
--- a/control-plane/src/command_queue.rs
+++ b/control-plane/src/command_queue.rs
@@ -4,6 +4,8 @@
 //! Commands with a deadline go before all others, in the order of their deadlines; the others keep the order in
 //! which they were issued. A later command replaces an earlier one about the same object, so that the change
 //! of order never brings an outdated one into effect.
+//!
+//! A failed call may have been carried out. If it requested an acknowledgement and a proxy sends that, it was.
 
 use crate::command::{Command, CommandKey};
 use crate::command_batch::CommandBatch;
@@ -16,6 +18,8 @@
     waiting: VecDeque<Command>,
     /// The commands of failed calls, oldest first. They wait until they are requeued.
     failed: VecDeque<Command>,
+    /// The acknowledgement that the latest call with any requested.
+    latest_acknowledgement: Option<u32>,
 }
 
 impl CommandQueue {
@@ -33,16 +37,10 @@
         }
         let replaced: BTreeSet<CommandKey> = commands.iter().filter_map(|command| command.key()).collect();
         if !replaced.is_empty() {
-            let is_current = |command: &Command| command.key().is_none_or(|key| !replaced.contains(&key));
-            self.waiting.retain(is_current);
-            self.failed.retain(is_current);
+            self.retain(|command| command.key().is_none_or(|key| !replaced.contains(&key)));
         }
         if commands.iter().any(|command| command.deadline.is_some()) {
-            let failed = std::mem::take(&mut self.failed);
-            let (mut urgent, others): (VecDeque<Command>, VecDeque<Command>) =
-                failed.into_iter().partition(|command| command.deadline.is_some());
-            self.failed = others;
-            self.waiting.append(&mut urgent);
+            self.requeue_failed_with_deadline();
         }
         self.waiting.extend(commands);
         sort_by_deadline(&mut self.waiting);
@@ -59,11 +57,36 @@
         sort_by_deadline(&mut self.waiting);
     }
 
+    fn requeue_failed_with_deadline(&mut self) {
+        let failed = std::mem::take(&mut self.failed);
+        let (mut urgent, others): (VecDeque<Command>, VecDeque<Command>) =
+            failed.into_iter().partition(|command| command.deadline.is_some());
+        self.failed = others;
+        self.waiting.append(&mut urgent);
+    }
+
     /// Drops the assignments of proxies that don't satisfy the predicate.
     pub fn retain_assignments(&mut self, is_joined: impl Fn(u32) -> bool) {
-        let is_valid = |command: &Command| command.assigned_proxy().is_none_or(&is_joined);
-        self.waiting.retain(is_valid);
-        self.failed.retain(is_valid);
+        self.retain(|command| command.assigned_proxy().is_none_or(&is_joined));
+    }
+
+    /// Drops the commands of failed calls that requested this acknowledgement: a proxy has sent it, so the relay
+    /// has carried them out. Returns whether there were any.
+    pub fn acknowledged(&mut self, number: u32) -> bool {
+        let commands = self.len();
+        self.retain(|command| !command.requested_acknowledgements.contains(&number));
+        let is_confirmed = self.len() < commands;
+        let only_requests_are_left =
+            self.waiting.iter().chain(&self.failed).all(Command::is_acknowledgement_request);
+        if is_confirmed && only_requests_are_left {
+            self.clear();
+        }
+        is_confirmed
+    }
+
+    fn retain(&mut self, keep: impl Fn(&Command) -> bool) {
+        self.waiting.retain(&keep);
+        self.failed.retain(&keep);
     }
 
     /// Drops all commands.
@@ -86,10 +109,29 @@
     }
 
     /// The commands of the next call, which stay in the queue until they are accepted, rejected or failed.
-    pub fn next_batch(&self) -> Option<CommandBatch> {
-        match self.sendable_len() {
-            0 => None,
-            sendable => Some(CommandBatch::next(&self.waiting, sendable)),
+    pub fn next_batch(&mut self) -> Option<CommandBatch> {
+        let sendable = self.sendable_len();
+        if sendable == 0 {
+            return None;
+        }
+        let batch = CommandBatch::next(&self.waiting, sendable);
+        if let Some(number) = batch.acknowledgement {
+            self.record_requested(number, batch.queued_commands);
+        }
+        Some(batch)
+    }
+
+    /// Records that a call with the first commands requests an acknowledgement. One that an earlier call
+    /// requested as well does not show which of them was carried out.
+    fn record_requested(&mut self, number: u32, commands: usize) {
+        if self.latest_acknowledgement.replace(number) == Some(number) {
+            for command in self.waiting.iter_mut().chain(&mut self.failed) {
+                command.requested_acknowledgements.retain(|requested| *requested != number);
+            }
+            return;
+        }
+        for command in self.waiting.iter_mut().take(commands) {
+            command.record_requested_acknowledgement(number);
         }
     }
 
--- a/control-plane/src/control_loop.rs
+++ b/control-plane/src/control_loop.rs
@@ -128,6 +128,9 @@
         let mut next = first_event;
         for _ in 0..EVENT_QUEUE_CAPACITY {
             let Some(event) = next.or_else(|| self.events.try_recv().ok()) else { return };
+            if let Event::Acknowledged { number, .. } = event {
+                self.delivery.acknowledged(number);
+            }
             self.step(now, |controller, now| dispatch(controller, now, event));
             next = None;
         }
@@ -185,7 +188,7 @@
             }
             CommandKind::Admission { .. }
             | CommandKind::Ejection { .. }
-            | CommandKind::AcknowledgementRequest => {}
+            | CommandKind::AcknowledgementRequest { .. } => {}
         }
     }
 
--- a/control-plane/tests/sockets/commands.rs
+++ b/control-plane/tests/sockets/commands.rs
@@ -287,3 +287,22 @@
         assert!(assigned(&call, 9) && !assigned(&call, 8), "{call:?}");
     }
 }
+
+/// Guards against commands that are sent to the proxies again and again although they have acknowledged them: each
+/// copy takes one of the messages that a proxy may be sent.
+#[test]
+fn a_failed_call_that_the_proxies_acknowledged_is_not_repeated() {
+    let Testbed { list, relay, control_plane } = Testbed::start_with_proxy();
+    relay.queue_behavior_times(20, RelayBehavior::ClosesConnection);
+    list.publish_changes(&[endpoint_entry("a", "leaving")]);
+    let acknowledgement_request = wait_for("a repeated call", || {
+        relay.next_call_with("eject").into_iter().find(|command| command["op"] == "fence")
+    });
+    relay.acknowledge(7, &acknowledgement_request["nonce_out"]);
+    control_plane.wait_for_log("failed call was carried out");
+    control_plane.wait_for_log("command delivery recovered");
+    while relay.try_next_call().is_some() {}
+    list.publish_changes(&[endpoint_entry("c", "active")]);
+    let next = relay.next_call();
+    assert!(next.iter().all(|command| command["endpoint"] != "a"), "{next:?}");
+}
--- a/control-plane/tests/sockets/support/relay.rs
+++ b/control-plane/tests/sockets/support/relay.rs
@@ -99,6 +99,12 @@
         self.connections.push(stream.try_clone().unwrap());
     }
 
+    fn send_line(&mut self, line: &str) {
+        for connection in &mut self.connections {
+            send_chunk(connection, &format!("{line}\n"));
+        }
+    }
+
     fn close_connections(&mut self) {
         for connection in self.connections.drain(..) {
             let _ = connection.shutdown(Shutdown::Both);
@@ -244,9 +250,7 @@
             {"node": proxy, "locality": "north", "w": 20.5, "cold": true}})
         .to_string();
         let mut stream = self.shared.event_stream.lock().unwrap();
-        for connection in &mut stream.connections {
-            send_chunk(connection, &format!("{line}\n"));
-        }
+        stream.send_line(&line);
         stream.snapshot_lines.push(line);
     }
 
@@ -254,12 +258,17 @@
     pub fn remove_proxy(&self, proxy: u32) {
         let line = json!({"type": "bye", "object": {"node": proxy}}).to_string();
         let mut stream = self.shared.event_stream.lock().unwrap();
-        for connection in &mut stream.connections {
-            send_chunk(connection, &format!("{line}\n"));
-        }
+        stream.send_line(&line);
         stream.snapshot_lines.push(line);
     }
 
+    /// Announces on the event stream that a proxy has acknowledged commands.
+    pub fn acknowledge(&self, proxy: u32, number: &Value) {
+        let object = json!({"node": proxy, "nonce": number, "latency": 20.5});
+        let line = json!({"type": "ack", "object": object}).to_string();
+        self.shared.event_stream.lock().unwrap().send_line(&line);
+    }
+
     /// Closes the event stream. New connections to it begin with these lines.
     pub fn close_event_stream_and_list(&self, lines: &[Value]) {
         let mut stream = self.shared.event_stream.lock().unwrap();
--- a/src/channel_backlog.rs
+++ b/src/channel_backlog.rs
@@ -28,14 +28,34 @@
 #[derive(Debug, Default)]
 struct Undelivered {
     lines: f64,
-    /// When the latest of them was recorded.
-    latest: Moment,
+    /// When they were recorded.
+    sent_at: Vec<Moment>,
+    /// When the latest copy of them was recorded, unless the proxy has acknowledged it.
+    unacknowledged_copy: Option<Moment>,
+}
+
+impl Undelivered {
+    fn record(&mut self, now: Moment, lines: f64) {
+        self.lines += lines;
+        if self.sent_at.last() != Some(&now) {
+            self.sent_at.push(now);
+        }
+    }
+}
+
+/// Whether messages that are sent again may have entered the channel before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EarlierDelivery {
+    /// They certainly have not.
+    Failed,
+    /// They may have.
+    Unknown,
 }
 
 /// Tracks the lines that were sent into the channel and may not have left it yet.
 ///
 /// ```
-/// use otterwinch::{channel_backlog::ChannelBacklog, time::{Moment, Span}};
+/// use otterwinch::{channel_backlog::{ChannelBacklog, EarlierDelivery}, time::{Moment, Span}};
 /// let (mut backlog, now) = (ChannelBacklog::new(2.0), Moment::from_us(5));
 /// backlog.record(now, 1, 4.0, 3.0);
 /// backlog.record(now, 2, 2.0, 3.0);
@@ -45,8 +65,9 @@
 /// assert_eq!(backlog.queued_lines(now), 8.0);
 /// assert_eq!(backlog.queued_lines(now + Span::from_secs(1.0)), 6.0);
 /// assert_eq!(backlog.recent_messages(now, 1, Span::from_secs(1.0)), [now]);
-/// assert_eq!(backlog.record_resend(now + Span::from_secs(1.0)), (7.0, Some(2)));
-/// assert_eq!(backlog.queued_lines(now + Span::from_secs(1.0)), 14.0);
+/// let later = now + Span::from_secs(1.0);
+/// assert_eq!(backlog.record_resend(later, EarlierDelivery::Unknown), Some(2));
+/// assert_eq!(backlog.queued_lines(later), 20.0);
 /// ```
 #[derive(Debug, Default)]
 pub struct ChannelBacklog {
@@ -85,9 +106,7 @@
     /// Records lines sent to a proxy. Lines sent to it at the same time form one message, with one overhead.
     pub fn record(&mut self, now: Moment, proxy: u32, lines: f64, overhead: f64) {
         let recorded = self.record_message(now, proxy, lines, overhead);
-        let undelivered = self.undelivered.entry(proxy).or_default();
-        undelivered.lines += recorded;
-        undelivered.latest = now;
+        self.undelivered.entry(proxy).or_default().record(now, recorded);
     }
 
     /// Records lines and returns how many these are with the overhead.
@@ -138,18 +157,40 @@
         self.queued_at = now;
     }
 
-    /// Records a copy of the messages that are not known to have entered the channel as sent now, since the
-    /// channel may carry both. Returns the copy's lines and the number that acknowledges it.
-    pub fn record_resend(&mut self, now: Moment) -> (f64, Option<u32>) {
-        let mut copied_lines = 0.0;
+    /// Records that the messages that are not known to have entered the channel are sent again now, as one
+    /// message to each proxy. Returns the number that acknowledges them.
+    ///
+    /// If they may have entered the channel before, it may carry both: the lines count twice. Of the copies, only
+    /// the latest counts as a message, and each that was acknowledged. So a copy must not be sent before an
+    /// acknowledgement of the one before it would have arrived.
+    pub fn record_resend(&mut self, now: Moment, earlier: EarlierDelivery) -> Option<u32> {
         for (proxy, lines) in self.undelivered_lines() {
-            copied_lines += self.record_message(now, proxy, lines, 0.0);
+            match earlier {
+                EarlierDelivery::Unknown => self.record_copy(now, proxy, lines),
+                EarlierDelivery::Failed => self.move_messages(now, proxy),
+            }
         }
-        (copied_lines, self.request_acknowledgement(now))
+        self.request_acknowledgement(now)
+    }
+
+    fn record_copy(&mut self, now: Moment, proxy: u32, lines: f64) {
+        let undelivered = self.undelivered.entry(proxy).or_default();
+        if let Some(former_copy) = undelivered.unacknowledged_copy.replace(now) {
+            self.message_times.entry(proxy).or_default().retain(|sent_at| *sent_at != former_copy);
+        }
+        self.record_message(now, proxy, lines, 0.0);
+    }
+
+    fn move_messages(&mut self, now: Moment, proxy: u32) {
+        let times = self.message_times.entry(proxy).or_default();
+        let undelivered = self.undelivered.entry(proxy).or_default();
+        times.retain(|sent_at| !undelivered.sent_at.contains(sent_at));
+        times.push_back(now);
+        undelivered.sent_at = vec![now];
     }
 
     /// The proxies with messages that are not known to have entered the channel, and the lines of these.
-    fn undelivered_lines(&self) -> Vec<(u32, f64)> {
+    pub fn undelivered_lines(&self) -> Vec<(u32, f64)> {
         self.undelivered.iter().map(|(proxy, undelivered)| (*proxy, undelivered.lines)).collect()
     }
 
@@ -176,8 +217,9 @@
         let Some(position) = self.batches.iter().position(|batch| batch.number == number) else { return };
         self.batches.drain(..position);
         let sent_at = self.batches[0].sent_at;
-        if self.undelivered.get(&proxy).is_some_and(|undelivered| undelivered.latest <= sent_at) {
-            self.undelivered.remove(&proxy);
+        let undelivered = self.undelivered.get_mut(&proxy);
+        if let Some(copied) = undelivered.filter(|copied| copied.unacknowledged_copy == Some(sent_at)) {
+            copied.unacknowledged_copy = None;
         }
         let batch = &mut self.batches[0];
         batch.cleared_lines += batch.lines_by_proxy.remove(&proxy).unwrap_or(0.0);
--- a/src/controller/ejection.rs
+++ b/src/controller/ejection.rs
@@ -58,6 +58,7 @@
         for id in &to_eject[..count] {
             let endpoint = self.endpoints.get_mut(id).expect("endpoints to eject are registered");
             endpoint.mark_ejected();
+            self.delivery.record_issued(urgency);
             self.host.eject_endpoint(id, urgency.deadline());
         }
         self.record_ejections(now, count, limits);
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -206,7 +206,7 @@
         self.timers.mark_fired(timer);
         match timer {
             Timer::WatchRetry => self.host.watch_endpoints(),
-            Timer::Resend => self.host.resend_commands(),
+            Timer::Resend => self.resend(now),
             Timer::Evaluation => {
                 self.evaluate(now);
                 self.issue_commands(now);
@@ -223,8 +223,7 @@
 
     /// Handles the confirmation that all commands issued so far were accepted.
     pub fn commands_accepted(&mut self, now: Moment) {
-        self.channel.backlog.delivered();
-        if std::mem::take(&mut self.delivery.is_resend_pending) {
+        if self.record_accepted() {
             self.issue_commands(now);
         }
     }
--- a/src/controller/publication.rs
+++ b/src/controller/publication.rs
@@ -246,6 +246,7 @@
                 self.host.restore_endpoint(&id);
                 restored += 1;
             }
+            self.delivery.record_issued(urgency);
             self.host.set_endpoint_weight(number, &id, weight, urgency.deadline());
             commands += 1;
             table.publish_weight(id, weight);
--- a/src/controller/test_support.rs
+++ b/src/controller/test_support.rs
@@ -30,8 +30,16 @@
     pub(super) command: Command,
 }
 
-/// Runs a controller in simulated time: fires the timers that it schedules, and lets every proxy acknowledge
-/// the commands for which it requests that.
+/// What becomes of the calls that carry the commands.
+#[derive(Clone, Copy, PartialEq)]
+pub(super) enum CallOutcome {
+    Accepted,
+    /// The connection breaks and the call was not carried out, which the controller can't know.
+    NotExecuted,
+}
+
+/// Runs a controller in simulated time: fires the timers that it schedules, carries its commands in calls, and
+/// lets every proxy acknowledge the commands for which it requests that.
 pub(super) struct Timeline {
     pub(super) controller: TestController,
     now: Moment,
@@ -41,6 +49,12 @@
     acknowledgements: BTreeSet<(Moment, u32)>,
     /// All commands so far.
     pub(super) issued: Vec<IssuedCommand>,
+    /// What becomes of calls from now on.
+    pub(super) calls: CallOutcome,
+    /// When calls failed.
+    pub(super) failed_calls: Vec<Moment>,
+    /// Whether commands of a failed call wait to be sent again.
+    is_failing: bool,
 }
 
 impl Timeline {
@@ -54,6 +68,9 @@
             timers: [evaluation, recheck].into(),
             acknowledgements: BTreeSet::new(),
             issued: Vec::new(),
+            calls: CallOutcome::Accepted,
+            failed_calls: Vec::new(),
+            is_failing: false,
         }
     }
 
@@ -94,16 +111,44 @@
         self.take_commands();
     }
 
+    /// Takes the commands that the controller has issued, and makes a call with them unless those of a failed
+    /// call have to be sent first.
     fn take_commands(&mut self) {
+        let mut has_commands = false;
+        let mut acknowledgement = None;
         for command in std::mem::take(&mut self.controller.host_mut().commands) {
             match command {
                 Command::ScheduleTimer { after, timer } => _ = self.timers.insert((self.now + after, timer)),
-                Command::RequestAcknowledgement(number) => {
-                    self.acknowledgements.insert((self.now + ACKNOWLEDGEMENT_DELAY, number));
+                Command::RequestAcknowledgement(number) => acknowledgement = Some(number),
+                Command::ResendCommands => {
+                    self.is_failing = false;
+                    has_commands = true;
+                }
+                command => {
+                    self.issued.push(IssuedCommand { at: self.now, command });
+                    has_commands = true;
                 }
-                command => self.issued.push(IssuedCommand { at: self.now, command }),
             }
         }
+        if has_commands {
+            self.make_call(acknowledgement);
+        }
+    }
+
+    fn make_call(&mut self, acknowledgement: Option<u32>) {
+        if self.calls == CallOutcome::NotExecuted {
+            self.is_failing = true;
+            self.failed_calls.push(self.now);
+            self.controller.commands_lost(self.now, true);
+        } else {
+            if let Some(number) = acknowledgement {
+                self.acknowledgements.insert((self.now + ACKNOWLEDGEMENT_DELAY, number));
+            }
+            if !self.is_failing {
+                self.controller.commands_accepted(self.now);
+            }
+        }
+        self.take_commands();
     }
 
     /// When the last command that satisfies a predicate was issued.
