A report names an endpoint with 256 bytes at most, so that the event queue is bounded

Cause: while the control loop waits for a call, reports wait in the event queue. It holds 4,096 events, and an event the name that the report gives, bounded by the frame of 64 KiB alone.

Change: a longer name makes the report invalid; it is dropped and counted.

--- a/adapter-support/src/json_fields.rs
+++ b/adapter-support/src/json_fields.rs
@@ -9,6 +9,9 @@
 /// every sum.
 const MAX_NUMBER: f64 = 1e12;
 
+/// The longest name of an object, in bytes. A DNS name has at most 253.
+const MAX_NAME_BYTES: usize = 256;
+
 /// Why a JSON object was rejected.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum JsonFieldError {
@@ -159,6 +162,13 @@
         self.get(name, "a string", Value::as_str)
     }
 
+    /// A string of at most 256 bytes that names an object. Names are kept, so that longer ones would take memory
+    /// without bound.
+    pub fn object_name(&self, name: &str) -> Result<&'a str, JsonFieldError> {
+        let read = |value: &'a Value| value.as_str().filter(|text| text.len() <= MAX_NAME_BYTES);
+        self.get(name, "a string of at most 256 bytes", read)
+    }
+
     /// An array.
     pub fn array(&self, name: &str) -> Result<&'a Vec<Value>, JsonFieldError> {
         self.get(name, "an array", Value::as_array)
--- a/control-plane/src/collector_message.rs
+++ b/control-plane/src/collector_message.rs
@@ -113,7 +113,7 @@
 }
 
 fn decode_outcomes(fields: &JsonFields, names: &DeploymentNames) -> Result<Event, InvalidContent> {
-    let endpoint = fields.string("endpoint")?.to_owned();
+    let endpoint = fields.object_name("endpoint")?.to_owned();
     names.zone(fields.string("locality")?)?;
     let attempts = decode_total(fields)?;
     let interval = decode_interval(fields)?;
