Log lines about connections share one rate limit and quote little of what came

Cause: the rate limit of `load report dropped` was one for each connection, and the line quoted the kind whole. Lines about connecting collectors had no limit.

Change: ConnectionLog holds the limits, one for all connections; 64 lines about collectors within 5 s, one about dropped reports. Errors quote 120 characters of a peer's text. ConnectionContext is a module of its own, so that none are imported in a circle.

Two new tests failed before.

--- a/adapter-support/src/json_fields.rs
+++ b/adapter-support/src/json_fields.rs
@@ -1,7 +1,7 @@
 //! Typed access to the fields of a JSON object. Unknown fields are ignored; a missing or malformed field is
 //! an error that names it.
 
-use crate::SettingsReader;
+use crate::{quoted, SettingsReader};
 use serde_json::{Map, Value};
 use std::ops::RangeInclusive;
 
@@ -47,7 +47,7 @@
         field: String,
         /// The expected type or range.
         expected: &'static str,
-        /// The value that was received, as JSON.
+        /// The value that was received, as JSON, truncated to a bounded length.
         value: String,
     },
 }
@@ -82,7 +82,7 @@
     /// A nested object, which has no kind field of its own; `kind` names it in errors.
     pub fn from_object(value: &'a Value, kind: &'a str) -> Result<Self, JsonFieldError> {
         let map = value.as_object();
-        let map = map.ok_or_else(|| JsonFieldError::NotAnObject { object: kind.to_owned() })?;
+        let map = map.ok_or_else(|| JsonFieldError::NotAnObject { object: quoted(kind) })?;
         Ok(JsonFields { kind, map })
     }
 
@@ -97,13 +97,13 @@
         expected: &'static str,
         read: impl Fn(&'a Value) -> Option<T>,
     ) -> Result<T, JsonFieldError> {
-        let missing = || JsonFieldError::Missing { object: self.kind.to_owned(), field: name.to_owned() };
+        let missing = || JsonFieldError::Missing { object: quoted(self.kind), field: name.to_owned() };
         let value = self.map.get(name).ok_or_else(missing)?;
         read(value).ok_or_else(|| JsonFieldError::Invalid {
-            object: self.kind.to_owned(),
+            object: quoted(self.kind),
             field: name.to_owned(),
             expected,
-            value: value.to_string(),
+            value: quoted(&value.to_string()),
         })
     }
 
--- a/adapter-support/src/lib.rs
+++ b/adapter-support/src/lib.rs
@@ -5,9 +5,11 @@
 mod command_validator;
 mod json_fields;
 mod panic_guard;
+mod quote;
 mod settings;
 
 pub use command_validator::{CommandValidator, InvalidCommand};
 pub use json_fields::{JsonFieldError, JsonFields};
 pub use panic_guard::{catch_panic, CaughtPanic};
+pub use quote::quoted;
 pub use settings::{controller_config, SettingsReader};
--- a/control-plane/src/collector_message.rs
+++ b/control-plane/src/collector_message.rs
@@ -4,7 +4,7 @@
 use crate::deployment_names::{DeploymentNames, UnknownName};
 use crate::event::Event;
 use otterwinch::time::Span;
-use otterwinch_adapter_support::{JsonFieldError, JsonFields};
+use otterwinch_adapter_support::{quoted, JsonFieldError, JsonFields};
 use serde_json::Value;
 
 /// Upper bound of the attempts or requests in one report. A greater count indicates an error of the sender.
@@ -94,7 +94,7 @@
         IDENTIFICATION => {
             Ok(HandshakeMessage::Identification { zone: names.zone(fields.string("locality")?)? })
         }
-        kind => Err(InvalidContent::NotIdentified(kind.to_owned())),
+        kind => Err(InvalidContent::NotIdentified(quoted(kind))),
     }
 }
 
@@ -108,7 +108,7 @@
         }
         "outcomes" => Ok(CollectorMessage::Report(decode_outcomes(&fields, names)?)),
         "demand" => Ok(CollectorMessage::Report(decode_demand(&fields, names)?)),
-        kind => Err(InvalidContent::UnknownKind(kind.to_owned())),
+        kind => Err(InvalidContent::UnknownKind(quoted(kind))),
     }
 }
 
--- a/control-plane/src/collector_message/tests.rs
+++ b/control-plane/src/collector_message/tests.rs
@@ -91,3 +91,21 @@
     assert!(is_accepted("outcomes", "endpoint", Some(json!("e".repeat(256)))));
     assert!(!is_accepted("outcomes", "endpoint", Some(json!("e".repeat(257)))));
 }
+
+/// Guards against log lines without a bound on their size.
+#[test]
+fn an_error_quotes_only_the_beginning_of_a_message() {
+    let long = "x".repeat(60_000);
+    let outcomes = json!({"msg": "outcomes", "locality": long, "endpoint": long});
+    let demand = json!({"msg": "demand", "node": long, "route": long});
+    for message in [json!({"msg": long}), outcomes, demand] {
+        let text = message.to_string();
+        for error in [
+            CollectorMessage::decode(text.as_bytes(), &names()).err(),
+            HandshakeMessage::decode(text.as_bytes(), &names()).err(),
+        ] {
+            let error = error.expect("the message is invalid").to_string();
+            assert!(error.len() < 300, "{} bytes", error.len());
+        }
+    }
+}
--- a/control-plane/src/command_delivery.rs
+++ b/control-plane/src/command_delivery.rs
@@ -10,6 +10,7 @@
 use crate::command_queue::CommandQueue;
 use hyper::body::Bytes;
 use hyper::{Method, StatusCode};
+use otterwinch_adapter_support::quoted;
 use serde_json::Value;
 use slog::{info, warn, Logger};
 use std::collections::VecDeque;
@@ -23,9 +24,6 @@
 /// relay within 1.5 s of the call.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(250);
 const MAX_RESPONSE_BYTES: usize = 64 << 10;
-/// The length at which an unusable response is truncated before it is classified and quoted in the error
-/// text.
-const MAX_QUOTED_CHARS: usize = 120;
 
 /// The outcome of a call.
 pub enum DeliveryOutcome {
@@ -225,11 +223,11 @@
 /// with an error status. Only an explicit rejection proves that none was executed; an internal error of the
 /// relay does not.
 fn response_error(status: StatusCode, response: &[u8]) -> CallError {
-    let quoted: String = String::from_utf8_lossy(response).chars().take(MAX_QUOTED_CHARS).collect();
-    let cause = format!("response status {status}, body: {quoted}").into();
-    if quoted.contains("throttled") || status == StatusCode::TOO_MANY_REQUESTS {
+    let text = quoted(&String::from_utf8_lossy(response));
+    let cause = format!("response status {status}, body: {text}").into();
+    if text.contains("throttled") || status == StatusCode::TOO_MANY_REQUESTS {
         CallError::Rejected(cause)
-    } else if status.is_client_error() && quoted.contains("invalid") {
+    } else if status.is_client_error() && text.contains("invalid") {
         CallError::InvalidRequest(cause)
     } else {
         CallError::InvalidData(cause)
--- a/control-plane/src/connection.rs
+++ b/control-plane/src/connection.rs
@@ -4,17 +4,14 @@
 //! frames that collectors send, and never in an HTTP request for a status page.
 
 use crate::call_error::CallError;
+use crate::connection_context::ConnectionContext;
 use crate::connection_table::ConnectionSlot;
-use crate::deployment_names::DeploymentNames;
-use crate::event::EventSender;
 use crate::load_reports::{Collector, CLOSING_GRACE};
 use crate::status_pages;
 use crate::timeout::timeout_with_grace;
-use axum::Router;
-use slog::{info, Logger};
+use slog::Logger;
 use std::io;
 use std::pin::pin;
-use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
@@ -24,19 +21,6 @@
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(1_500);
 const FRAME_FIRST_BYTE: u8 = 0;
 
-/// State that all connections share.
-#[derive(Clone)]
-pub struct ConnectionContext {
-    /// Names that are valid in load reports.
-    pub names: Rc<DeploymentNames>,
-    /// Passes the load reports on to the control loop.
-    pub events: EventSender,
-    /// The status pages for HTTP clients.
-    pub status_pages: Router,
-    /// The log.
-    pub log: Logger,
-}
-
 /// Serves a connection until its peer disconnects, violates the protocol or is silent for too long. Once
 /// `closing` is cancelled, it handles the data that has arrived and returns.
 pub async fn serve_connection(
@@ -57,10 +41,10 @@
     let finished = finished.ok_or_else(handshake_timed_out)?;
     let Some(collector) = finished? else { return Ok(()) };
     slot.identify(collector.zone());
-    info!(log, "collector connected"; "zone" => collector.zone());
+    context.connection_log.collector_connected(log, collector.zone());
     let on_frame = || slot.record_activity();
-    collector.receive_reports(&context.names, &context.events, on_frame, closing, log).await?;
-    info!(log, "collector disconnected");
+    collector.receive_reports(context, on_frame, closing, log).await?;
+    context.connection_log.collector_disconnected(log);
     Ok(())
 }
 
--- a/control-plane/src/deployment_names.rs
+++ b/control-plane/src/deployment_names.rs
@@ -1,5 +1,7 @@
 //! Maps the names of zones and request classes, which messages use, to the numbers that the controller uses.
 
+use otterwinch_adapter_support::quoted;
+
 /// The zones and request classes of the settings, in the same order, and the number of proxies.
 #[derive(PartialEq)]
 pub struct DeploymentNames {
@@ -28,12 +30,12 @@
 impl DeploymentNames {
     /// Returns the number of the zone with this name.
     pub fn zone(&self, name: &str) -> Result<u32, UnknownName> {
-        position_of(&self.zones, name).ok_or_else(|| UnknownName::Zone(name.to_owned()))
+        position_of(&self.zones, name).ok_or_else(|| UnknownName::Zone(quoted(name)))
     }
 
     /// Returns the number of the request class with this name.
     pub fn request_class(&self, name: &str) -> Result<u32, UnknownName> {
-        position_of(&self.request_classes, name).ok_or_else(|| UnknownName::RequestClass(name.to_owned()))
+        position_of(&self.request_classes, name).ok_or_else(|| UnknownName::RequestClass(quoted(name)))
     }
 
     /// Returns the number if there is a proxy with it.
--- a/control-plane/src/endpoint_list.rs
+++ b/control-plane/src/endpoint_list.rs
@@ -3,7 +3,7 @@
 use crate::deployment_names::DeploymentNames;
 use otterwinch::host::{EndpointId, EndpointState, EndpointUpdate};
 use otterwinch::time::Moment;
-use otterwinch_adapter_support::{JsonFieldError, JsonFields};
+use otterwinch_adapter_support::{quoted, JsonFieldError, JsonFields};
 use serde_json::Value;
 
 const ENTRY: &str = "list entry";
@@ -98,7 +98,7 @@
         "active" => Ok(EndpointState::Ready),
         "leaving" => Ok(EndpointState::Draining),
         "left" => Ok(EndpointState::Removed),
-        other => Err(InvalidEntryReason::UnknownState(other.to_owned())),
+        other => Err(InvalidEntryReason::UnknownState(quoted(other))),
     }
 }
 
--- a/control-plane/src/listener.rs
+++ b/control-plane/src/listener.rs
@@ -1,11 +1,12 @@
 //! The listener of the control plane: accepts collectors and HTTP clients, and runs one task per connection.
 
-use crate::connection::{serve_connection, ConnectionContext};
+use crate::connection::serve_connection;
+use crate::connection_context::ConnectionContext;
 use crate::connection_table::{ConnectionSlot, ConnectionTable};
 use crate::log::LogRateLimit;
 use futures_util::FutureExt;
 use otterwinch_adapter_support::catch_panic;
-use slog::{error, info, o, warn};
+use slog::{error, o, warn};
 use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
@@ -27,7 +28,6 @@
     tasks: TaskTracker,
     accept_errors: LogRateLimit,
     evictions: LogRateLimit,
-    connection_errors: Rc<RefCell<LogRateLimit>>,
     shutdown: CancellationToken,
 }
 
@@ -48,7 +48,6 @@
             tasks: TaskTracker::new(),
             accept_errors: LogRateLimit::default(),
             evictions: LogRateLimit::default(),
-            connection_errors: Rc::default(),
             shutdown,
         }
     }
@@ -131,14 +130,11 @@
         closing: CancellationToken,
     ) -> impl std::future::Future<Output = ()> + 'static {
         let context = self.context.clone();
-        let errors = self.connection_errors.clone();
         async move {
             let log = context.log.new(o!("from" => peer.to_string()));
             if let Err(error) = serve_connection(stream, &context, &slot, &closing, &log).await {
                 context.events.metrics.connection_errors.increment();
-                if let Some(times) = errors.borrow_mut().record() {
-                    info!(log, "connection failed"; "why" => #error, "times" => times);
-                }
+                context.connection_log.connection_failed(&log, &error);
             }
         }
     }
--- a/control-plane/src/load_reports.rs
+++ b/control-plane/src/load_reports.rs
@@ -2,14 +2,13 @@
 //! frames that consist of a four-byte length and one JSON object.
 
 use crate::call_error::{CallError, Cause};
-use crate::collector_message::{CollectorMessage, HandshakeMessage, InvalidContent, InvalidMessage};
+use crate::collector_message::{CollectorMessage, HandshakeMessage, InvalidMessage};
+use crate::connection_context::ConnectionContext;
 use crate::deployment_names::DeploymentNames;
-use crate::event::EventSender;
-use crate::log::LogRateLimit;
 use crate::timeout::timeout_with_grace;
 use futures_util::{SinkExt, StreamExt};
 use hyper::body::Bytes;
-use slog::{warn, Logger};
+use slog::Logger;
 use std::ops::Deref;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -86,22 +85,20 @@
     /// does not read the response to a probe. It has to connect again.
     pub async fn receive_reports(
         mut self,
-        names: &DeploymentNames,
-        events: &EventSender,
+        context: &ConnectionContext,
         on_frame: impl Fn(),
         closing: &CancellationToken,
         log: &Logger,
     ) -> Result<(), CallError> {
-        let mut dropped_report_log = LogRateLimit::default();
         while let Some(frame) = self.next_frame(closing).await? {
             on_frame();
-            match CollectorMessage::decode(&frame, names) {
+            match CollectorMessage::decode(&frame, &context.names) {
                 Ok(CollectorMessage::Probe) => answer_probe(&mut self.frames).await?,
                 Ok(CollectorMessage::Identification) => {}
-                Ok(CollectorMessage::Report(event)) => events.send(event).await,
+                Ok(CollectorMessage::Report(event)) => context.events.send(event).await,
                 Err(InvalidMessage::Content(error)) => {
-                    events.metrics.invalid_inputs.increment();
-                    log_dropped_report(&mut dropped_report_log, &error, log);
+                    context.events.metrics.invalid_inputs.increment();
+                    context.connection_log.report_dropped(log, &error);
                 }
                 Err(error @ InvalidMessage::NotJson(_)) => return Err(invalid_data(error)),
             }
@@ -181,13 +178,6 @@
     }
 }
 
-/// Logs a message that was dropped: an invalid report or identification, or one of an unknown kind.
-fn log_dropped_report(limit: &mut LogRateLimit, error: &InvalidContent, log: &Logger) {
-    if let Some(times) = limit.record() {
-        warn!(log, "load report dropped"; "why" => %error, "times" => times);
-    }
-}
-
 fn invalid_data(error: impl Into<Cause>) -> CallError {
     CallError::InvalidData(error.into())
 }
--- a/control-plane/src/log.rs
+++ b/control-plane/src/log.rs
@@ -32,22 +32,38 @@
 }
 
 /// Limits how often an event is logged that may occur with every message.
-#[derive(Default)]
 pub struct LogRateLimit {
+    /// The most lines within [`MIN_LOG_INTERVAL`].
+    burst: u32,
     unlogged: u64,
-    last_logged: Option<Instant>,
+    interval_started: Option<Instant>,
+    logged_in_interval: u32,
+}
+
+impl Default for LogRateLimit {
+    fn default() -> Self {
+        LogRateLimit::with_burst(1)
+    }
 }
 
 impl LogRateLimit {
+    /// A limit of `burst` lines within [`MIN_LOG_INTERVAL`].
+    pub fn with_burst(burst: u32) -> Self {
+        LogRateLimit { burst, unlogged: 0, interval_started: None, logged_in_interval: 0 }
+    }
+
     /// Counts an occurrence. If it is to be logged, returns the number of occurrences since the last one that
     /// was logged, including this one.
     pub fn record(&mut self) -> Option<u64> {
         self.unlogged += 1;
-        let recent = self.last_logged.is_some_and(|logged| logged.elapsed() < MIN_LOG_INTERVAL);
-        if recent {
+        if self.interval_started.is_none_or(|started| started.elapsed() >= MIN_LOG_INTERVAL) {
+            self.interval_started = Some(Instant::now());
+            self.logged_in_interval = 0;
+        }
+        if self.logged_in_interval == self.burst {
             return None;
         }
-        self.last_logged = Some(Instant::now());
+        self.logged_in_interval += 1;
         Some(std::mem::take(&mut self.unlogged))
     }
 }
--- a/control-plane/src/main.rs
+++ b/control-plane/src/main.rs
@@ -13,6 +13,8 @@
 mod config_fault;
 mod config_reload;
 mod connection;
+mod connection_context;
+mod connection_log;
 mod connection_table;
 mod connector;
 mod control_loop;
--- a/control-plane/src/proxy_event.rs
+++ b/control-plane/src/proxy_event.rs
@@ -1,7 +1,7 @@
 //! Decodes the lines of the relay's event stream. Their wire names appear only in this module.
 
 use crate::deployment_names::{DeploymentNames, UnknownName};
-use otterwinch_adapter_support::{JsonFieldError, JsonFields};
+use otterwinch_adapter_support::{quoted, JsonFieldError, JsonFields};
 use serde_json::Value;
 
 /// The highest valid rate of a proxy, in requests per second. A higher one indicates an error of the relay.
@@ -104,7 +104,7 @@
         }),
         "bye" => Ok(ProxyEvent::Left { proxy }),
         "ack" => Ok(ProxyEvent::Acknowledged { proxy, number: fields.u32("nonce")? }),
-        kind => Err(InvalidEvent::UnknownKind(kind.to_owned())),
+        kind => Err(InvalidEvent::UnknownKind(quoted(kind))),
     }
 }
 
--- a/control-plane/src/server.rs
+++ b/control-plane/src/server.rs
@@ -2,7 +2,7 @@
 
 use crate::config::Config;
 use crate::config_reload::ConfigReload;
-use crate::connection::ConnectionContext;
+use crate::connection_context::ConnectionContext;
 use crate::control_loop::{ControlLoop, ControlLoopHandles};
 use crate::endpoint_watch::EndpointWatch;
 use crate::listener::Listener;
@@ -80,6 +80,7 @@
             events: events.clone(),
             status_pages: status_pages::router(status),
             log: log.clone(),
+            connection_log: Rc::default(),
         };
         let shutdown = CancellationToken::new();
         let listener = Listener::new(socket, context, config.max_connections, shutdown.clone());
--- a/control-plane/tests/sockets/connections.rs
+++ b/control-plane/tests/sockets/connections.rs
@@ -5,7 +5,7 @@
 use crate::support::{
     config_with_peers, encode_frame, read_frame, wait_for, ControlPlane, FakeEndpointList, FakeRelay, Testbed,
 };
-use serde_json::json;
+use serde_json::{json, Value};
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpStream};
 
@@ -214,3 +214,22 @@
     relay.release_response();
     wait_for_ejection(&relay, "b");
 }
+
+/// Guards against a rate limit of log lines for each connection: collectors that reconnected for each invalid
+/// report wrote 15 MB a second.
+#[test]
+fn collectors_that_reconnect_for_each_invalid_report_share_one_log_rate_limit() {
+    let Testbed { control_plane, .. } = Testbed::start(&["a"]);
+    let identification = encode_frame(r#"{"msg":"agent","locality":"north"}"#);
+    let invalid = encode_frame(&json!({"msg": "x".repeat(60_000)}).to_string());
+    for _ in 0..100 {
+        control_plane.connect().write_all(&[&identification[..], &invalid].concat()).unwrap();
+    }
+    control_plane.wait_for_status(r#""dropped":100,"#);
+    // The log is written by a thread of its own. A line that follows the others shows that they were written.
+    control_plane.connect().write_all(&encode_frame("[]")).unwrap();
+    let lines = control_plane.log_lines_before("connection failed");
+    let dropped: Vec<&Value> = lines.iter().filter(|line| line["msg"] == "load report dropped").collect();
+    assert!((1..5).contains(&dropped.len()), "{} lines", dropped.len());
+    assert!(dropped.iter().all(|line| line.to_string().len() < 1_000));
+}
--- a/control-plane/tests/sockets/support/control_plane.rs
+++ b/control-plane/tests/sockets/support/control_plane.rs
@@ -98,6 +98,18 @@
         wait_for(&format!("log line '{message}'"), || Some(next_line()).filter(|line| line["msg"] == message))
     }
 
+    /// Waits for the next log line with this message and returns the lines before it.
+    pub fn log_lines_before(&self, message: &str) -> Vec<Value> {
+        let mut lines = Vec::new();
+        loop {
+            let line = self.log.recv_timeout(TIMEOUT).expect("no such log line");
+            if line["msg"] == message {
+                return lines;
+            }
+            lines.push(line);
+        }
+    }
+
     /// Waits until the response to `/state` contains this text.
     pub fn wait_for_status(&self, text: &str) {
         wait_for(&format!("{text} in /state"), || self.http_get("/state").contains(text).then_some(()));
