A collector's frame has 16 KiB at most, so that hundreds of half ones fit in memory

Cause: half of the 512 connections may be collectors', and the buffer of each grows to 160 KB.

Change: 16 KiB, where a report takes a few hundred bytes.

--- a/control-plane/src/load_reports.rs
+++ b/control-plane/src/load_reports.rs
@@ -19,8 +19,9 @@
 /// Enough for an identification or a probe (health check). Unidentified peers get no larger buffer, because
 /// hundreds of them that each announce a long frame would exhaust the memory.
 const MAX_UNIDENTIFIED_FRAME_BYTES: usize = 1 << 10;
-/// Ample, as a report takes a few hundred bytes.
-const MAX_FRAME_BYTES: usize = 64 << 10;
+/// Ample, as a report takes a few hundred bytes. Hundreds of collectors may each leave a frame half sent, and
+/// decoding one holds up the other tasks.
+const MAX_FRAME_BYTES: usize = 16 << 10;
 /// Time for a peer to read a response.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time from the first byte of a frame to its last.
--- a/control-plane/tests/sockets/connections.rs
+++ b/control-plane/tests/sockets/connections.rs
@@ -8,6 +8,7 @@
 use serde_json::{json, Value};
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpStream};
+use std::time::Duration;
 
 pub fn assert_answers_health_check(stream: &mut TcpStream) {
     stream.write_all(&encode_frame(r#"{"msg":"probe"}"#)).unwrap();
@@ -221,7 +222,7 @@
 fn collectors_that_reconnect_for_each_invalid_report_share_one_log_rate_limit() {
     let Testbed { control_plane, .. } = Testbed::start(&["a"]);
     let identification = encode_frame(r#"{"msg":"agent","locality":"north"}"#);
-    let invalid = encode_frame(&json!({"msg": "x".repeat(60_000)}).to_string());
+    let invalid = encode_frame(&json!({"msg": "x".repeat(16_000)}).to_string());
     for _ in 0..100 {
         control_plane.connect().write_all(&[&identification[..], &invalid].concat()).unwrap();
     }
@@ -233,3 +234,43 @@
     assert!((1..5).contains(&dropped.len()), "{} lines", dropped.len());
     assert!(dropped.iter().all(|line| line.to_string().len() < 1_000));
 }
+
+/// Guards against hundreds of clients of which each makes the process keep what it has sent so far.
+#[test]
+fn hundreds_of_clients_that_stop_half_way_take_less_than_the_memory_limit() {
+    const MEMORY_LIMIT_MB: u64 = 32;
+    const ZONES: usize = 40;
+    let (list, relay) = (FakeEndpointList::start(&["a"]), FakeRelay::start());
+    let mut config = config_with_peers(list.address, relay.address);
+    config["limits"] = json!({"sockets": 1024, "memory_mb": MEMORY_LIMIT_MB});
+    config["settings"]["zones"] = (0..ZONES).map(|zone| json!(format!("z{zone}"))).collect();
+    let control_plane = ControlPlane::start_with(&config);
+    let half_frame = |length: usize| encode_frame(&"x".repeat(length))[..length].to_vec();
+    let half_frame_of_collector = |client: usize, length: usize| {
+        let identification = json!({"msg": "agent", "locality": format!("z{}", client % ZONES)});
+        [encode_frame(&identification.to_string()), half_frame(length)].concat()
+    };
+    let many_fields: String = (0..90).map(|field| format!("h{field}:\r\n")).collect();
+    let head = format!("GET /healthz HTTP/1.1\r\n{many_fields}").into_bytes();
+    let body = [b"POST /state HTTP/1.1\r\ncontent-length: 9000000\r\n\r\n", &[b'x'; 60_000][..]].concat();
+    for kind in 0..5 {
+        let mut clients = Vec::new();
+        for client in 0..500 {
+            let sent = match kind {
+                0 => half_frame(1_000),
+                1 => head.clone(),
+                2 => body.clone(),
+                3 => half_frame_of_collector(client, 16_000),
+                _ => half_frame_of_collector(client, 60_000),
+            };
+            let mut stream = control_plane.connect();
+            stream.set_write_timeout(Some(Duration::from_millis(100))).unwrap();
+            // The connection may be closed before all is written.
+            let _ = stream.write_all(&sent);
+            clients.push(stream);
+        }
+        assert_answers_health_check(&mut control_plane.connect());
+    }
+    let peak = control_plane.peak_memory_mb();
+    assert!(peak < MEMORY_LIMIT_MB, "{peak} MiB");
+}
--- a/control-plane/tests/sockets/support/control_plane.rs
+++ b/control-plane/tests/sockets/support/control_plane.rs
@@ -131,6 +131,13 @@
         response
     }
 
+    /// The largest memory that the process has used so far, in MiB.
+    pub fn peak_memory_mb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        peak.split_whitespace().next().unwrap().parse::<u64>().unwrap() >> 10
+    }
+
     /// Replaces the content of the configuration file and sends SIGHUP.
     pub fn reload_config(&self, config: &str) {
         std::fs::write(&self.config_file.path, config).unwrap();
