A task that reads messages lets the other tasks run after 16 KiB of them

Cause: all tasks share one thread, and a collector's task does not wait while frames are buffered. Tokio's budget counts reads, 128 in a turn, of thousands of frames each. Evidence: in a test another task got 4 turns for 20,000 frames.

Change: TurnBudget, which collectors, unidentified connections and the event stream spend by message.

The new test failed before.

--- a/control-plane/src/load_reports.rs
+++ b/control-plane/src/load_reports.rs
@@ -6,6 +6,7 @@
 use crate::connection_context::ConnectionContext;
 use crate::deployment_names::DeploymentNames;
 use crate::timeout::timeout_with_grace;
+use crate::turn_budget::TurnBudget;
 use futures_util::{SinkExt, StreamExt};
 use hyper::body::Bytes;
 use slog::Logger;
@@ -55,7 +56,9 @@
         let codec =
             LengthDelimitedCodec::builder().max_frame_length(MAX_UNIDENTIFIED_FRAME_BYTES).new_codec();
         let mut frames = Framed::with_capacity(stream, codec, MAX_UNIDENTIFIED_FRAME_BYTES);
+        let mut turn = TurnBudget::default();
         while let Some(frame) = frames.next().await {
+            turn.spend(frame.as_ref().map_or(0, |frame| frame.len())).await;
             match decode_handshake(frame, names) {
                 Ok(HandshakeMessage::Probe) => answer_probe(&mut frames).await?,
                 Ok(HandshakeMessage::Identification { zone }) => {
@@ -91,7 +94,9 @@
         closing: &CancellationToken,
         log: &Logger,
     ) -> Result<(), CallError> {
+        let mut turn = TurnBudget::default();
         while let Some(frame) = self.next_frame(closing).await? {
+            turn.spend(frame.len()).await;
             on_frame();
             match CollectorMessage::decode(&frame, &context.names) {
                 Ok(CollectorMessage::Probe) => answer_probe(&mut self.frames).await?,
@@ -182,3 +187,6 @@
 fn invalid_data(error: impl Into<Cause>) -> CallError {
     CallError::InvalidData(error.into())
 }
+
+#[cfg(test)]
+mod tests;
--- a/control-plane/src/main.rs
+++ b/control-plane/src/main.rs
@@ -41,6 +41,7 @@
 mod task_restart;
 mod timeout;
 mod timer_queue;
+mod turn_budget;
 
 use config::Config;
 use config_fault::ConfigFault;
--- a/control-plane/src/proxy_streams.rs
+++ b/control-plane/src/proxy_streams.rs
@@ -14,6 +14,7 @@
 use crate::log::LogRateLimit;
 use crate::proxy_event::{InvalidEvent, InvalidLine, ProxyEvent};
 use crate::proxy_stream_connection::{ProxyStream, SILENCE_TIMEOUT};
+use crate::turn_budget::TurnBudget;
 use slog::{info, warn, Logger};
 use std::future::{pending, Future};
 use std::net::SocketAddr;
@@ -92,9 +93,11 @@
     }
 
     async fn run(mut self) {
+        let mut turn = TurnBudget::default();
         loop {
             match self.next_event().await {
                 FollowerEvent::StreamRead(Ok(Some(line))) => {
+                    turn.spend(line.len()).await;
                     if let Err(error) = self.line_received(&line).await {
                         self.stream_lost(&error);
                     }
