A collector without a slot is disconnected although it sends on, and counts until then

Cause: a collector that loses its slot to a newer one is to end once it has handled what had arrived, and went on as long as no 20 ms passed without a byte. Its slot was given away at once, so nothing counted it.

Change: such a connection is read for 0.5 s at most and keeps its place in the table until its task has ended; in a full table the oldest of them ends at once.

The new socket test failed before.

--- a/control-plane/src/connection_table.rs
+++ b/control-plane/src/connection_table.rs
@@ -13,16 +13,18 @@
 
 /// Open connections by number, in the order in which they were accepted.
 ///
-/// Collectors take at most half of the slots, or one slot per zone if that is more. So a full table has an
-/// unidentified connection, unless there are at least as many zones as slots, and the oldest of those is
-/// closed to make room. Collectors identify themselves and health checks are answered right after the accept,
-/// so the oldest is least likely to still identify itself or await an answer.
+/// Collectors take at most half of the slots, or one slot per zone if that is more. So a full table has a
+/// connection that is closing or unidentified, unless there are at least as many zones as slots, and the oldest
+/// of those is closed to make room. Collectors identify themselves and health checks are answered right after
+/// the accept, so the oldest is least likely to still identify itself or await an answer.
 pub struct ConnectionTable {
     max_connections: usize,
     max_per_zone: usize,
     next_number: u64,
     unidentified: BTreeMap<u64, UnidentifiedConnection>,
     collectors: BTreeMap<u64, CollectorConnection>,
+    /// Collectors that were asked to end and still handle what they had received.
+    closing: BTreeMap<u64, AbortHandle>,
 }
 
 /// A connection whose peer has not identified itself as a collector; HTTP clients never do.
@@ -34,6 +36,7 @@
 struct CollectorConnection {
     zone: u32,
     last_activity: Instant,
+    task: AbortHandle,
     closing: CancellationToken,
 }
 
@@ -47,24 +50,23 @@
             next_number: 0,
             unidentified: BTreeMap::new(),
             collectors: BTreeMap::new(),
+            closing: BTreeMap::new(),
         }
     }
 
     /// Whether all slots are taken.
     pub fn is_full(&self) -> bool {
-        self.unidentified.len() + self.collectors.len() >= self.max_connections
+        self.unidentified.len() + self.collectors.len() + self.closing.len() >= self.max_connections
     }
 
-    /// Aborts the task of the oldest unidentified connection. Returns false if there is none.
-    pub fn abort_oldest_unidentified(&mut self) -> bool {
-        // Its request, if any, has probably been answered.
-        match self.unidentified.pop_first() {
-            Some((_, oldest)) => {
-                oldest.task.abort();
-                true
-            }
-            None => false,
-        }
+    /// Aborts the task of the oldest closing connection, or else of the oldest unidentified one, whose request,
+    /// if any, has probably been answered. Returns false if there is neither.
+    pub fn abort_oldest(&mut self) -> bool {
+        let closing = self.closing.pop_first().map(|(_, task)| task);
+        let oldest = closing.or_else(|| self.unidentified.pop_first().map(|(_, oldest)| oldest.task));
+        let Some(task) = oldest else { return false };
+        task.abort();
+        true
     }
 
     /// Returns the number for the next connection.
@@ -80,14 +82,14 @@
     }
 
     /// Marks a connection as that of a zone's collector. If the zone already has the maximum, the one that
-    /// has been silent for the longest is asked to end, and its slot is freed at once.
+    /// has been silent for the longest is asked to end.
     fn identify(&mut self, number: u64, zone: u32) {
         let Some(connection) = self.unidentified.remove(&number) else { return };
         if self.collectors_in_zone(zone).count() >= self.max_per_zone {
             self.close_longest_silent(zone);
         }
-        let collector =
-            CollectorConnection { zone, last_activity: Instant::now(), closing: connection.closing };
+        let UnidentifiedConnection { task, closing } = connection;
+        let collector = CollectorConnection { zone, last_activity: Instant::now(), task, closing };
         self.collectors.insert(number, collector);
     }
 
@@ -101,6 +103,7 @@
         let Some(number) = longest_silent.map(|(number, _)| *number) else { return };
         if let Some(collector) = self.collectors.remove(&number) {
             collector.closing.cancel();
+            self.closing.insert(number, collector.task);
         }
     }
 
@@ -113,6 +116,7 @@
     fn remove(&mut self, number: u64) {
         self.unidentified.remove(&number);
         self.collectors.remove(&number);
+        self.closing.remove(&number);
     }
 }
 
--- a/control-plane/src/connection_table/tests.rs
+++ b/control-plane/src/connection_table/tests.rs
@@ -27,7 +27,7 @@
     collector.slot.identify(0);
     let (oldest, newest) = (connect(&table), connect(&table));
     assert!(table.borrow().is_full());
-    assert!(table.borrow_mut().abort_oldest_unidentified());
+    assert!(table.borrow_mut().abort_oldest());
     assert!(oldest.task.await.unwrap_err().is_cancelled());
     assert!(!collector.closing.is_cancelled() && !collector.task.is_finished());
     assert!(!newest.task.is_finished());
@@ -55,5 +55,20 @@
     assert!(table.borrow().is_full());
     drop(connection.slot);
     assert!(!table.borrow().is_full());
-    assert!(!table.borrow_mut().abort_oldest_unidentified());
+    assert!(!table.borrow_mut().abort_oldest());
+}
+
+/// Guards against closing connections that nothing counts: each still holds a socket.
+#[tokio::test]
+async fn a_closing_connection_keeps_its_slot_and_is_the_first_to_be_aborted() {
+    let table = table(3, 1);
+    let (first, second, unidentified) = (connect(&table), connect(&table), connect(&table));
+    first.slot.identify(0);
+    second.slot.identify(0);
+    assert!(first.closing.is_cancelled() && table.borrow().is_full());
+    assert!(table.borrow_mut().abort_oldest());
+    assert!(first.task.await.unwrap_err().is_cancelled());
+    assert!(!second.task.is_finished() && !unidentified.task.is_finished());
+    drop(first.slot);
+    assert!(!table.borrow().is_full());
 }
--- a/control-plane/src/listener.rs
+++ b/control-plane/src/listener.rs
@@ -99,14 +99,14 @@
         }
     }
 
-    /// Closes the oldest unidentified connection. Returns false if there is none.
+    /// Closes the oldest connection that is closing or unidentified. Returns false if there is none.
     fn evict(&mut self) -> bool {
         self.context.events.metrics.evicted_connections.increment();
         if let Some(times) = self.evictions.record() {
             warn!(self.context.log, "too many connections, closing the oldest unidentified one";
                 "times" => times);
         }
-        self.connections.borrow_mut().abort_oldest_unidentified()
+        self.connections.borrow_mut().abort_oldest()
     }
 
     /// Starts a task for a connection, or closes the connection if the table is full.
--- a/control-plane/src/load_reports.rs
+++ b/control-plane/src/load_reports.rs
@@ -33,6 +33,9 @@
 /// Once the connection is to close: how long to wait for the end of the handshake, for more data, or for the
 /// rest of a frame. It applies to each wait.
 pub const CLOSING_GRACE: Duration = Duration::from_millis(20);
+/// Once the connection is to close: how long data is read in total. A collector that goes on sending would
+/// otherwise keep a connection for which it has no slot any more.
+const CLOSING_TIMEOUT: Duration = Duration::from_millis(500);
 
 const PROBE_RESPONSE: &[u8] = br#"{"msg":"alive"}"#;
 /// A complete frame, including the length.
@@ -82,7 +85,7 @@
 
     /// Receives reports until the collector disconnects, and calls `on_frame` for each frame. An invalid
     /// report is dropped without affecting others. Once `closing` is cancelled, this handles the data that
-    /// has arrived and returns.
+    /// has arrived, for [`CLOSING_TIMEOUT`] at most, and returns.
     ///
     /// # Errors
     /// Frames can no longer be decoded, a frame stays incomplete, or the collector is silent for too long or
@@ -95,9 +98,16 @@
         log: &Logger,
     ) -> Result<(), CallError> {
         let mut turn = TurnBudget::default();
+        let mut closing_since = None;
         while let Some(frame) = self.next_frame(closing).await? {
             turn.spend(frame.len()).await;
             on_frame();
+            if closing.is_cancelled() {
+                let since = *closing_since.get_or_insert_with(Instant::now);
+                if since.elapsed() >= CLOSING_TIMEOUT {
+                    return Ok(());
+                }
+            }
             match CollectorMessage::decode(&frame, &context.names) {
                 Ok(CollectorMessage::Probe) => answer_probe(&mut self.frames).await?,
                 Ok(CollectorMessage::Identification) => {}
--- a/control-plane/tests/sockets/connections.rs
+++ b/control-plane/tests/sockets/connections.rs
@@ -3,11 +3,14 @@
 
 use crate::shutdown::{drain_during_a_call, wait_for_ejection};
 use crate::support::{
-    config_with_peers, encode_frame, read_frame, wait_for, ControlPlane, FakeEndpointList, FakeRelay, Testbed,
+    config_with_peers, encode_frame, read_frame, wait_for, ControlPlane, FakeEndpointList, FakeRelay,
+    Testbed, TIMEOUT,
 };
 use serde_json::{json, Value};
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpStream};
+use std::sync::mpsc::channel;
+use std::thread::{sleep, spawn};
 use std::time::Duration;
 
 pub fn assert_answers_health_check(stream: &mut TcpStream) {
@@ -274,3 +277,32 @@
     let peak = control_plane.peak_memory_mb();
     assert!(peak < MEMORY_LIMIT_MB, "{peak} MiB");
 }
+
+/// Guards against a collector that keeps a connection for which it has no slot any more, by sending on: hundreds
+/// of them exceeded the limit on sockets.
+#[test]
+fn a_collector_that_sends_on_after_newer_ones_took_its_slot_is_disconnected() {
+    const COLLECTORS: usize = 40;
+    const SLOTS_OF_A_ZONE: usize = 8;
+    let Testbed { control_plane, .. } = Testbed::start(&["a"]);
+    let (sender, disconnected) = channel();
+    for _ in 0..COLLECTORS {
+        let mut collector = control_plane.connect();
+        let sender = sender.clone();
+        spawn(move || {
+            let identification = encode_frame(r#"{"msg":"agent","locality":"north"}"#);
+            let report = encode_frame(
+                r#"{"msg":"demand","node":1,"route":"quote","total":4,"errors":0,"interval":1000.0}"#,
+            );
+            let mut sent = collector.write_all(&identification);
+            while sent.is_ok() {
+                sleep(Duration::from_millis(2));
+                sent = collector.write_all(&report);
+            }
+            let _ = sender.send(());
+        });
+    }
+    for _ in 0..COLLECTORS - SLOTS_OF_A_ZONE {
+        disconnected.recv_timeout(TIMEOUT).expect("a collector without a slot is disconnected");
+    }
+}
