--- a/control-plane/src/proxy_snapshot.rs
+++ b/control-plane/src/proxy_snapshot.rs
@@ -6,17 +6,21 @@
 pub struct ProxySnapshot {
     /// `None` once the snapshot has been completed or invalidated.
     joined: Option<BTreeSet<u32>>,
+    proxy_count: u32,
 }
 
-impl Default for ProxySnapshot {
-    fn default() -> Self {
-        ProxySnapshot { joined: Some(BTreeSet::new()) }
+impl ProxySnapshot {
+    /// An empty snapshot of a deployment whose proxies have the numbers below `proxy_count`.
+    pub fn new(proxy_count: u32) -> Self {
+        ProxySnapshot { joined: Some(BTreeSet::new()), proxy_count }
     }
-}
 
-impl ProxySnapshot {
-    /// Adds a proxy that the stream lists as joined.
+    /// Adds a proxy that the stream lists as joined. One that does not exist is ignored, so that an invalid stream
+    /// can't make the snapshot grow without bound.
     pub fn insert(&mut self, proxy: u32) {
+        if proxy >= self.proxy_count {
+            return;
+        }
         if let Some(joined) = &mut self.joined {
             joined.insert(proxy);
         }
--- a/control-plane/src/proxy_stream_connection.rs
+++ b/control-plane/src/proxy_stream_connection.rs
@@ -39,11 +39,11 @@
 }
 
 impl ProxyStream {
-    /// Opens a stream and waits for its first line.
+    /// Opens a stream and waits for its first line. The proxies have the numbers below `proxy_count`.
     ///
     /// # Errors
     /// The relay can't be reached, rejects the request, or does not send a line in time.
-    pub async fn open(client: &PeerClient) -> Result<Self, CallError> {
+    pub async fn open(client: &PeerClient, proxy_count: u32) -> Result<Self, CallError> {
         let response = client.send(Method::GET, PATH, Bytes::new(), RESPONSE_TIMEOUT).await?;
         if !response.status().is_success() {
             return Err(CallError::Rejected(format!("response status {}", response.status()).into()));
@@ -59,7 +59,7 @@
             address: client.address,
             lines,
             first_line: Some(first_line),
-            snapshot: ProxySnapshot::default(),
+            snapshot: ProxySnapshot::new(proxy_count),
         })
     }
 
--- a/control-plane/src/proxy_streams.rs
+++ b/control-plane/src/proxy_streams.rs
@@ -81,7 +81,7 @@
 impl Follower {
     fn new(mut context: ProxyStreamTask) -> Self {
         let client = Rc::new(PeerClient::new(*context.address.borrow_and_update()));
-        let open_attempt = open_after(Duration::ZERO, &client);
+        let open_attempt = open_after(Duration::ZERO, &client, context.names.proxy_count);
         Follower {
             context,
             client,
@@ -148,10 +148,14 @@
         }
     }
 
+    fn open_after(&self, delay: Duration) -> OpenAttempt {
+        open_after(delay, &self.client, self.context.names.proxy_count)
+    }
+
     fn stream_silent(&mut self) {
         if self.open_attempt.is_none() {
             warn!(self.context.log, "proxy stream silent"; "seconds" => SILENCE_TIMEOUT.as_secs_f32());
-            self.open_attempt = Some(open_after(Duration::ZERO, &self.client));
+            self.open_attempt = Some(self.open_after(Duration::ZERO));
         }
     }
 
@@ -168,12 +172,12 @@
         }
         self.failed_attempts += 1;
         let delay = BACKOFF[self.failed_attempts.min(BACKOFF.len() - 1)];
-        self.open_attempt = Some(open_after(delay, &self.client));
+        self.open_attempt = Some(self.open_after(delay));
     }
 
     fn relay_moved(&mut self) {
         self.client = Rc::new(PeerClient::new(*self.context.address.borrow_and_update()));
-        self.open_attempt = Some(open_after(Duration::ZERO, &self.client));
+        self.open_attempt = Some(self.open_after(Duration::ZERO));
         self.failed_attempts = 0;
     }
 
@@ -183,7 +187,7 @@
     fn stream_lost(&mut self, error: &CallError) {
         warn!(self.context.log, "proxy stream lost"; "why" => #error);
         self.stream = None;
-        self.open_attempt = Some(open_after(BACKOFF[0], &self.client));
+        self.open_attempt = Some(self.open_after(BACKOFF[0]));
         self.failed_attempts = 0;
     }
 }
@@ -204,10 +208,10 @@
     }
 }
 
-fn open_after(delay: Duration, client: &Rc<PeerClient>) -> OpenAttempt {
+fn open_after(delay: Duration, client: &Rc<PeerClient>, proxy_count: u32) -> OpenAttempt {
     let client = client.clone();
     Box::pin(async move {
         sleep(delay).await;
-        ProxyStream::open(&client).await
+        ProxyStream::open(&client, proxy_count).await
     })
 }
