The backlog keeps the time of the first undelivered message instead of all

Change: the time of the first is enough to move them. A new test shows that commands that certainly did not arrive count as one message.

--- a/src/channel_backlog.rs
+++ b/src/channel_backlog.rs
@@ -25,21 +25,18 @@
 }
 
 /// Messages to one proxy that are not known to have entered the channel.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Undelivered {
     lines: f64,
-    /// When they were recorded.
-    sent_at: Vec<Moment>,
+    /// When the first of them was recorded.
+    since: Moment,
     /// When the latest copy of them was recorded, unless the proxy has acknowledged it.
     unacknowledged_copy: Option<Moment>,
 }
 
 impl Undelivered {
-    fn record(&mut self, now: Moment, lines: f64) {
-        self.lines += lines;
-        if self.sent_at.last() != Some(&now) {
-            self.sent_at.push(now);
-        }
+    fn new(now: Moment) -> Self {
+        Undelivered { lines: 0.0, since: now, unacknowledged_copy: None }
     }
 }
 
@@ -106,7 +103,7 @@
     /// Records lines sent to a proxy. Lines sent to it at the same time form one message, with one overhead.
     pub fn record(&mut self, now: Moment, proxy: u32, lines: f64, overhead: f64) {
         let recorded = self.record_message(now, proxy, lines, overhead);
-        self.undelivered.entry(proxy).or_default().record(now, recorded);
+        self.undelivered.entry(proxy).or_insert_with(|| Undelivered::new(now)).lines += recorded;
     }
 
     /// Records lines and returns how many these are with the overhead.
@@ -174,7 +171,7 @@
     }
 
     fn record_copy(&mut self, now: Moment, proxy: u32, lines: f64) {
-        let undelivered = self.undelivered.entry(proxy).or_default();
+        let Some(undelivered) = self.undelivered.get_mut(&proxy) else { return };
         if let Some(former_copy) = undelivered.unacknowledged_copy.replace(now) {
             self.message_times.entry(proxy).or_default().retain(|sent_at| *sent_at != former_copy);
         }
@@ -182,11 +179,11 @@
     }
 
     fn move_messages(&mut self, now: Moment, proxy: u32) {
+        let Some(undelivered) = self.undelivered.get_mut(&proxy) else { return };
         let times = self.message_times.entry(proxy).or_default();
-        let undelivered = self.undelivered.entry(proxy).or_default();
-        times.retain(|sent_at| !undelivered.sent_at.contains(sent_at));
+        times.retain(|sent_at| *sent_at < undelivered.since);
         times.push_back(now);
-        undelivered.sent_at = vec![now];
+        undelivered.since = now;
     }
 
     /// The proxies with messages that are not known to have entered the channel, and the lines of these.
--- a/src/controller/delivery.rs
+++ b/src/controller/delivery.rs
@@ -3,9 +3,10 @@
 //! Commands that were lost, or may have been, are resent; only their acknowledgement request may be added or
 //! replaced. Until they are accepted, only commands with a deadline are sent, since all others would queue up
 //! and arrive in one burst. A copy that is sent again is a message like any other: it waits until the limit on
-//! messages permits it, and until an acknowledgement has shown whether the one before it counts. If all outstanding acknowledgements are lost while the queue is long, because their
-//! proxies left or the event stream broke, one proxy is assigned to a table of its own again so that it sends
-//! a new acknowledgement.
+//! messages permits it, and until an acknowledgement would have shown whether the one before it counts.
+//!
+//! If all outstanding acknowledgements are lost while the queue is long, because their proxies left or the event
+//! stream broke, one proxy is assigned to a table of its own again so that it sends a new acknowledgement.
 
 use super::channel::ChannelLimits;
 use super::urgency::Urgency;
--- a/src/controller/delivery/tests.rs
+++ b/src/controller/delivery/tests.rs
@@ -145,6 +145,20 @@
     }
 }
 
+/// What was certainly not carried out counts once, when it is sent again.
+#[test]
+fn commands_that_certainly_did_not_arrive_count_as_one_message_when_they_are_resent() {
+    let mut controller = running_controller(gateways(), &["a", "b"], 1);
+    controller.commands_accepted(at(0.5));
+    controller.endpoints_updated(at(2.0), &[draining("a")]);
+    controller.commands_lost(at(2.0), false);
+    controller.timer_fired(at(3.0), Timer::Resend);
+    controller.commands_lost(at(3.0), false);
+    controller.timer_fired(at(4.0), Timer::Resend);
+    let sent = controller.channel.backlog.recent_messages(at(9.0), 0, Span::from_secs(8.0));
+    assert_eq!(sent, [at(4.0)]);
+}
+
 /// A copy that was carried out counts, and one that nobody acknowledged counts until the next is sent.
 #[test]
 fn copies_count_as_messages_if_they_were_acknowledged() {
