--- a/src/controller/candidate.rs
+++ b/src/controller/candidate.rs
@@ -1,4 +1,4 @@
-//! A candidate for a route table: a snapshot of a ready endpoint.
+//! A candidate for a route table: the state of a ready endpoint at one point in time.
 
 use crate::host::EndpointId;
 
@@ -28,3 +28,9 @@
         self.weight * self.slow_start_factor
     }
 }
+
+/// The capacity that counts for routing between zones. The slow-start factor applies twice, so that cold
+/// endpoints count for less than they can carry.
+pub(super) fn routable_capacity<'a>(candidates: impl Iterator<Item = &'a Candidate>) -> f64 {
+    candidates.map(|candidate| candidate.capacity() * candidate.slow_start_factor).sum()
+}
--- a/src/controller/changes.rs
+++ b/src/controller/changes.rs
@@ -13,7 +13,8 @@
 use super::assignment::ASSIGNMENT_RETRY_INTERVAL;
 use super::channel::ChannelLimits;
 use super::endpoints::{Endpoint, EndpointRegistry};
-use super::routing::{DesiredWeights, RouteTable, RoutingSnapshot};
+use super::routing::{DesiredWeights, RouteTable};
+use super::routing_snapshot::RoutingSnapshot;
 use super::slow_start::EndpointWeight;
 use super::urgency::Urgency;
 use crate::config::ControllerConfig;
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -8,8 +8,8 @@
 //! Commands reach the proxies through the *channel*, the shared queue of messages to all proxies. A *line* is
 //! the unit of its cost: one command sent to one proxy. Message overheads are stated in lines too.
 //!
-//! Each module is responsible for one concern and owns its state and constants. `candidate` decides nothing:
-//! it defines the snapshot of a ready endpoint that routing and slow start work on.
+//! Each module is responsible for one concern and owns its state and constants. `candidate` and
+//! `routing_snapshot` decide nothing: they define what routing and slow start work on.
 //!
 //! | module | decides |
 //! | --- | --- |
@@ -52,6 +52,7 @@
 mod publication;
 mod push_limit;
 mod routing;
+mod routing_snapshot;
 mod sharding;
 mod slow_start;
 #[cfg(test)]
@@ -297,7 +298,7 @@
 
     /// The ready endpoints with their current capacity, ordered by id.
     fn candidates(&self, now: Moment) -> Vec<Candidate> {
-        routing::candidates(now, &self.config, &self.endpoints)
+        routing_snapshot::candidates(now, &self.config, &self.endpoints)
     }
 
     fn fleet_condition(&self) -> FleetCondition {
--- a/src/controller/publication.rs
+++ b/src/controller/publication.rs
@@ -10,7 +10,8 @@
 use super::admission::RETRY_POLICY;
 use super::changes::{self, ChangeContext, TableChanges, WeightChange};
 use super::channel::ChannelLimits;
-use super::routing::{DesiredWeights, RoutingSnapshot};
+use super::routing::DesiredWeights;
+use super::routing_snapshot::RoutingSnapshot;
 use super::urgency::Urgency;
 use super::urgent_batch::UrgentBatch;
 use super::Controller;
@@ -131,14 +132,14 @@
     }
 
     fn routing_snapshot(&self, now: Moment, limits: &ChannelLimits) -> RoutingSnapshot {
-        let rates_by_zone = self.proxies.rates_by_zone();
-        let collapse_multiple = self.config.collapse_multiple;
-        self.tables.snapshot(
-            self.candidates(now),
+        RoutingSnapshot::new(
+            now,
+            &self.config,
+            &self.endpoints,
             self.fleet_condition(),
-            rates_by_zone,
+            self.proxies.rates_by_zone(),
             limits,
-            collapse_multiple,
+            self.tables.ring_seed,
         )
     }
 
--- a/src/controller/routing.rs
+++ b/src/controller/routing.rs
@@ -5,17 +5,14 @@
 //! of several tables holds an arc of it. The table of request classes that must not leave their zone holds
 //! the endpoints of that zone only. Which proxies use a table is decided in `placement`.
 
-use super::candidate::Candidate;
-use super::channel::ChannelLimits;
+use super::candidate::{routable_capacity, Candidate};
 use super::cold_tables;
 use super::endpoints::EndpointRegistry;
-use super::outliers;
 use super::peak_weight::PeakWeight;
 use super::placement::{arc_start, TablePlacement};
-use super::slow_start::{
-    capacity_fraction, slow_start_factor, slow_start_weights, EndpointWeight, FleetCondition,
-};
-use crate::config::{ControllerConfig, RequestClassGroup};
+use super::routing_snapshot::RoutingSnapshot;
+use super::slow_start::{slow_start_weights, EndpointWeight};
+use crate::config::RequestClassGroup;
 use crate::host::EndpointId;
 use crate::time::Moment;
 use std::collections::BTreeMap;
@@ -195,17 +192,11 @@
     }
 }
 
-/// The capacity that counts for routing between zones. The slow-start factor applies twice, so that cold
-/// endpoints count for less than they can carry.
-fn routable_capacity<'a>(candidates: impl Iterator<Item = &'a Candidate>) -> f64 {
-    candidates.map(|candidate| candidate.capacity() * candidate.slow_start_factor).sum()
-}
-
 /// All route tables, by number.
 pub(super) struct RouteTables {
     pub(super) by_number: BTreeMap<u32, RouteTable>,
     /// Determines the order of the ring, so that it differs between controllers.
-    ring_seed: u32,
+    pub(super) ring_seed: u32,
 }
 
 impl RouteTables {
@@ -237,27 +228,6 @@
         self.by_number[&number].weights.keys().any(|id| endpoints.is_ready(id))
     }
 
-    /// Collects the inputs from which the weights of all tables are computed.
-    pub(super) fn snapshot(
-        &self,
-        mut candidates: Vec<Candidate>,
-        fleet: FleetCondition,
-        rates_by_zone: BTreeMap<u32, f64>,
-        limits: &ChannelLimits,
-        collapse_multiple: f64,
-    ) -> RoutingSnapshot {
-        candidates.sort_by_cached_key(|candidate| ring_position(&candidate.id, self.ring_seed));
-        let served = candidates.iter().filter(|candidate| rates_by_zone.contains_key(&candidate.zone));
-        RoutingSnapshot {
-            served_capacity: routable_capacity(served),
-            candidates,
-            rates_by_zone,
-            max_table_size: limits.max_table_size,
-            collapse_multiple,
-            fleet,
-        }
-    }
-
     /// Decays the peaks of the warm weights; called once per evaluation.
     pub(super) fn decay(&mut self) {
         for table in self.by_number.values_mut() {
@@ -273,76 +243,5 @@
     }
 }
 
-/// The inputs from which the weights of all tables are computed at one point in time.
-pub(super) struct RoutingSnapshot {
-    /// The candidates, in the order of the ring.
-    candidates: Vec<Candidate>,
-    /// The usual request rate of each zone, over all proxies that have ever joined.
-    rates_by_zone: BTreeMap<u32, f64>,
-    /// The routable capacity of the zones in `rates_by_zone`.
-    served_capacity: f64,
-    max_table_size: usize,
-    /// See [`ControllerConfig::collapse_multiple`].
-    collapse_multiple: f64,
-    fleet: FleetCondition,
-}
-
-impl RoutingSnapshot {
-    /// A zone's part of the served capacity, which is divided among the zones by request rate.
-    fn proportional_capacity(&self, zone: u32) -> f64 {
-        let rate = self.rates_by_zone.get(&zone).unwrap_or(&0.0);
-        let all_rates = self.rates_by_zone.values().sum::<f64>();
-        rate / all_rates.max(1e-9) * self.served_capacity
-    }
-
-    /// The candidates that a table with these published weights holds.
-    fn candidates_in<'a>(
-        &'a self,
-        weights: &'a BTreeMap<EndpointId, f64>,
-    ) -> impl Iterator<Item = &'a Candidate> {
-        self.candidates.iter().filter(|candidate| weights.contains_key(&candidate.id))
-    }
-
-    /// Whether a table with these published weights holds a ready endpoint that is warm.
-    pub(super) fn any_warm(&self, weights: &BTreeMap<EndpointId, f64>) -> bool {
-        self.candidates_in(weights).any(Candidate::is_warm)
-    }
-
-    /// Whether an endpoint is left out of tables because it is cold and the fleet is degraded.
-    pub(super) fn excludes(&self, id: &EndpointId) -> bool {
-        self.candidates.iter().any(|candidate| candidate.id == *id && self.fleet.excludes(candidate))
-    }
-}
-
-/// The ready endpoints with their present weight and slow-start factor, ordered by id.
-pub(super) fn candidates(
-    now: Moment,
-    config: &ControllerConfig,
-    endpoints: &EndpointRegistry,
-) -> Vec<Candidate> {
-    let mut candidates = Vec::new();
-    for (id, endpoint) in endpoints.ready() {
-        candidates.push(Candidate {
-            id: id.clone(),
-            zone: endpoint.zone,
-            weight: outliers::effective_weight(endpoint),
-            listed_weight: endpoint.weight,
-            capacity_fraction: capacity_fraction(config, endpoint.started, now),
-            slow_start_factor: slow_start_factor(config.slow_start_window, endpoint.started, now),
-        });
-    }
-    candidates
-}
-
-/// The position of an endpoint on the ring: a seeded hash of its id.
-fn ring_position(id: &str, seed: u32) -> u32 {
-    let mut hash = seed;
-    for byte in id.bytes() {
-        hash = (hash.rotate_left(5) ^ u32::from(byte)).wrapping_mul(0x0100_0193);
-    }
-    let mix = |hash: u32| (hash ^ hash >> 15).wrapping_mul(0x2c1b_3c6d);
-    mix(mix(hash))
-}
-
 #[cfg(test)]
 mod tests;
