Ejections for proxies that join one after the other are collected again

Ejections counted as due since the first unassigned proxy joined, which is past their collection time for each later join. All were sent anew every 50 ms, and the proxies that had joined before got 12 messages of 12 by that.

Change: an endpoint's ejection is due since it stopped being ready, or since the first join after its last ejection.

--- a/src/controller/ejection.rs
+++ b/src/controller/ejection.rs
@@ -65,13 +65,10 @@
         count < to_eject.len()
     }
 
-    /// Since when the earliest of these ejections, which are in the order in which the endpoints stopped being
-    /// ready, has been due: at a proxy that joined later, the drain grace counts from the join. `None` if there
-    /// is no ejection or no proxy to send it to.
+    /// Since when the earliest of these ejections has been due; `None` if there is none.
     fn ejections_due_since(&self, to_eject: &[EndpointId]) -> Option<Moment> {
-        let first = self.endpoints.get(to_eject.first()?)?;
-        let first_joined = self.proxies.first_unassigned_join()?;
-        Some(first.unready_since()?.max(first_joined))
+        let endpoints = to_eject.iter().filter_map(|id| self.endpoints.get(id));
+        endpoints.map(|endpoint| endpoint.ejection_due_since).min()
     }
 
     /// The endpoints that are no longer ready, are in no table and may still be used by proxies with stale
--- a/src/controller/endpoints.rs
+++ b/src/controller/endpoints.rs
@@ -44,6 +44,9 @@
     pub(super) ejected: bool,
     /// Whether the ejection was sent to all proxies with stale tables; false again once another proxy joins.
     pub(super) ejected_everywhere: bool,
+    /// Since when an ejection has been due, if one is: it stopped being ready, or a proxy joined after the last
+    /// ejection. At that proxy the drain grace counts from the join.
+    pub(super) ejection_due_since: Moment,
     /// The state that outlier detection keeps for it.
     pub(super) outlier: OutlierState,
 }
@@ -87,6 +90,7 @@
     pub(super) fn set_state(&mut self, now: Moment, state: EndpointState) {
         if self.is_ready() {
             self.last_ready = now;
+            self.ejection_due_since = now;
         }
         self.state = state;
     }
@@ -135,10 +139,11 @@
     /// Applies list entries that were added or changed.
     pub(super) fn apply_updates(&mut self, now: Moment, updates: &[EndpointUpdate]) {
         for update in updates {
-            let endpoint = self
-                .by_id
-                .entry(update.id.clone())
-                .or_insert_with(|| Endpoint { last_ready: now, ..Endpoint::default() });
+            let endpoint = self.by_id.entry(update.id.clone()).or_insert_with(|| Endpoint {
+                last_ready: now,
+                ejection_due_since: now,
+                ..Endpoint::default()
+            });
             endpoint.apply(now, update);
         }
         self.ready_weight.record(self.ready_weight());
@@ -227,9 +232,11 @@
 
     /// Called when a proxy joins with stale tables: no endpoint counts as ejected from all proxies any
     /// longer.
-    pub(super) fn reset_ejected_everywhere(&mut self) {
+    pub(super) fn reset_ejected_everywhere(&mut self, now: Moment) {
         for endpoint in self.by_id.values_mut() {
-            endpoint.ejected_everywhere = false;
+            if std::mem::take(&mut endpoint.ejected_everywhere) {
+                endpoint.ejection_due_since = now;
+            }
         }
     }
 
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -163,7 +163,7 @@
         }
         // Until it is assigned, the proxy uses a table that this controller did not publish and that may
         // contain endpoints that are no longer ready.
-        self.endpoints.reset_ejected_everywhere();
+        self.endpoints.reset_ejected_everywhere(now);
         self.schedule_recheck();
     }
 
--- a/src/controller/proxies.rs
+++ b/src/controller/proxies.rs
@@ -13,7 +13,6 @@
 pub(super) struct Proxy {
     /// Its usual request rate, in requests per second.
     pub(super) rate: f64,
-    joined_at: Moment,
     /// When it joined, or when an assignment of it was last rejected.
     pub(super) waiting_since: Moment,
     /// Whether, when it joined, it had never been assigned a table by any controller and still used the few
@@ -83,7 +82,6 @@
         };
         let proxy_state = Proxy {
             rate,
-            joined_at: now,
             waiting_since: now,
             has_initial_table: has_initial_table && !was_seen,
             assignments: placements.iter().map(assignment).collect(),
@@ -123,11 +121,6 @@
         self.joined.iter().filter(|(_, proxy)| predicate(proxy)).map(|(number, _)| *number).collect()
     }
 
-    /// When the first of the proxies that are not assigned to all of their tables yet joined.
-    pub(super) fn first_unassigned_join(&self) -> Option<Moment> {
-        self.joined.values().filter(|proxy| !proxy.is_assigned()).map(|proxy| proxy.joined_at).min()
-    }
-
     /// The proxies that changes of each table are assumed to reach, in ascending order.
     pub(super) fn receivers_by_table(&self) -> BTreeMap<u32, Vec<u32>> {
         let mut receivers = BTreeMap::<u32, Vec<u32>>::new();
