--- a/adapter-support/src/json_fields.rs
+++ b/adapter-support/src/json_fields.rs
@@ -162,8 +162,8 @@
         self.get(name, "a string", Value::as_str)
     }
 
-    /// A string of at most 256 bytes that names an object. Names are kept, so that longer ones would take memory
-    /// without bound.
+    /// A string of at most 256 bytes that names an object. Names are kept, so that longer ones would take
+    /// memory without bound.
     pub fn object_name(&self, name: &str) -> Result<&'a str, JsonFieldError> {
         let read = |value: &'a Value| value.as_str().filter(|text| text.len() <= MAX_NAME_BYTES);
         self.get(name, "a string of at most 256 bytes", read)
--- a/control-plane/src/collector_message/tests.rs
+++ b/control-plane/src/collector_message/tests.rs
@@ -84,8 +84,8 @@
     }
 }
 
-/// Guards against events without a bound on their size: a collector that reported names of 60 KB while a call to
-/// the relay was in flight filled the queue with 240 MB.
+/// Guards against events without a bound on their size: a collector that reported names of 60 KB while a call
+/// to the relay was in flight filled the queue with 240 MB.
 #[test]
 fn a_report_about_an_endpoint_with_an_endless_name_is_rejected() {
     assert!(is_accepted("outcomes", "endpoint", Some(json!("e".repeat(256)))));
--- a/control-plane/src/command_batch.rs
+++ b/control-plane/src/command_batch.rs
@@ -28,8 +28,8 @@
 }
 
 impl CommandBatch {
-    /// Builds the next batch from the first `max_commands` commands of a queue, of which there must be at least
-    /// one.
+    /// Builds the next batch from the first `max_commands` commands of a queue, of which there must be at
+    /// least one.
     pub fn next(queue: &VecDeque<Command>, max_commands: usize) -> Self {
         let request = queue.back().filter(|command| command.is_acknowledgement_request());
         let reserved = request.map_or(0, |request| SEPARATOR.len() + request.json.len());
@@ -52,8 +52,8 @@
 }
 
 /// The number of commands from the front of the queue that go into one body: as many as fit, up to
-/// `max_commands`, but at least one. A group of commands that reach the same proxies is left for the next batch if only part of it fits,
-/// unless it is the first group.
+/// `max_commands`, but at least one. A group of commands that reach the same proxies is left for the next
+/// batch if only part of it fits, unless it is the first group.
 fn count_fitting_commands(queue: &VecDeque<Command>, max_commands: usize, max_bytes: usize) -> usize {
     let mut length = BODY_START.len() + BODY_END.len();
     let mut group_start = 0;
--- a/control-plane/src/command_delivery.rs
+++ b/control-plane/src/command_delivery.rs
@@ -1,7 +1,7 @@
 //! Delivers commands to the relay, which forwards them to the proxies, one call at a time.
 //!
-//! Commands stay queued until the relay has accepted or rejected them. After a failed call, only commands with a
-//! deadline are sent before those of that call, and the controller decides when these are resent.
+//! Commands stay queued until the relay has accepted or rejected them. After a failed call, only commands
+//! with a deadline are sent before those of that call, and the controller decides when these are resent.
 
 use crate::call_error::CallError;
 use crate::client::PeerClient;
@@ -116,8 +116,8 @@
         self.queue.retain_assignments(is_joined);
     }
 
-    /// Handles an acknowledgement: a failed call that requested it has been carried out, and its commands need
-    /// not be sent again.
+    /// Handles an acknowledgement: a failed call that requested it has been carried out, and its commands
+    /// need not be sent again.
     pub fn acknowledged(&mut self, number: u32) {
         if self.queue.acknowledged(number) {
             info!(self.log, "failed call was carried out"; "acknowledgement" => number);
--- a/control-plane/src/command_queue.rs
+++ b/control-plane/src/command_queue.rs
@@ -1,11 +1,12 @@
 //! The commands that the relay has not accepted yet: those that still have to be sent, and those of failed
 //! calls.
 //!
-//! Commands with a deadline go before all others, in the order of their deadlines; the others keep the order in
-//! which they were issued. A later command replaces an earlier one about the same object, so that the change
-//! of order never brings an outdated one into effect.
+//! Commands with a deadline go before all others, in the order of their deadlines; the others keep the order
+//! in which they were issued. A later command replaces an earlier one about the same object, so that the
+//! change of order never brings an outdated one into effect.
 //!
-//! A failed call may have been carried out. If it requested an acknowledgement and a proxy sends that, it was.
+//! A failed call may have been carried out. If it requested an acknowledgement and a proxy sends that, it
+//! was.
 
 use crate::command::{Command, CommandKey};
 use crate::command_batch::CommandBatch;
@@ -29,8 +30,8 @@
     }
 
     /// Adds commands. An acknowledgement request among them replaces an earlier one that waits, so that the
-    /// acknowledgement shows which of several calls arrived. If one has a deadline, those of failed calls that
-    /// have one go with it.
+    /// acknowledgement shows which of several calls arrived. If one has a deadline, those of failed calls
+    /// that have one go with it.
     pub fn enqueue(&mut self, commands: VecDeque<Command>) {
         if commands.iter().any(Command::is_acknowledgement_request) {
             self.waiting.retain(|command| !command.is_acknowledgement_request());
@@ -70,8 +71,8 @@
         self.retain(|command| command.assigned_proxy().is_none_or(&is_joined));
     }
 
-    /// Drops the commands of failed calls that requested this acknowledgement: a proxy has sent it, so the relay
-    /// has carried them out. Returns whether there were any.
+    /// Drops the commands of failed calls that requested this acknowledgement: a proxy has sent it, so the
+    /// relay has carried them out. Returns whether there were any.
     pub fn acknowledged(&mut self, number: u32) -> bool {
         let commands = self.len();
         self.retain(|command| !command.requested_acknowledgements.contains(&number));
--- a/control-plane/src/command_queue/tests.rs
+++ b/control-plane/src/command_queue/tests.rs
@@ -67,7 +67,8 @@
     assert_waiting(&queue, [removal("b", 1), removal("a", 2), assignment(3), assignment(4)]);
 }
 
-/// Guards against a removal that overtakes an earlier weight of its endpoint, which would then take effect last.
+/// Guards against a removal that overtakes an earlier weight of its endpoint, which would then take effect
+/// last.
 #[test]
 fn a_command_replaces_earlier_ones_about_the_same_object() {
     let endpoint = EndpointId::from("a");
--- a/control-plane/src/connection_table.rs
+++ b/control-plane/src/connection_table.rs
@@ -14,9 +14,9 @@
 /// Open connections by number, in the order in which they were accepted.
 ///
 /// Collectors take at most half of the slots, or one slot per zone if that is more. So a full table has a
-/// connection that is closing or unidentified, unless there are at least as many zones as slots, and the oldest
-/// of those is closed to make room. Collectors identify themselves and health checks are answered right after
-/// the accept, so the oldest is least likely to still identify itself or await an answer.
+/// connection that is closing or unidentified, unless there are at least as many zones as slots, and the
+/// oldest of those is closed to make room. Collectors identify themselves and health checks are answered
+/// right after the accept, so the oldest is least likely to still identify itself or await an answer.
 pub struct ConnectionTable {
     max_connections: usize,
     max_per_zone: usize,
@@ -59,8 +59,8 @@
         self.unidentified.len() + self.collectors.len() + self.closing.len() >= self.max_connections
     }
 
-    /// Aborts the task of the oldest closing connection, or else of the oldest unidentified one, whose request,
-    /// if any, has probably been answered. Returns false if there is neither.
+    /// Aborts the task of the oldest closing connection, or else of the oldest unidentified one, whose
+    /// request, if any, has probably been answered. Returns false if there is neither.
     pub fn abort_oldest(&mut self) -> bool {
         let closing = self.closing.pop_first().map(|(_, task)| task);
         let oldest = closing.or_else(|| self.unidentified.pop_first().map(|(_, oldest)| oldest.task));
--- a/control-plane/src/control_loop.rs
+++ b/control-plane/src/control_loop.rs
@@ -1,7 +1,7 @@
 //! The task that owns the controller and the clock. Each iteration waits for an event or a timer, passes
 //! everything that is ready to the controller with the same timestamp, and makes one call with the commands
-//! that the controller issued. So no event waits for more than one call, however many the commands take. After
-//! the process was held up, input that has arrived meanwhile is read first.
+//! that the controller issued. So no event waits for more than one call, however many the commands take.
+//! After the process was held up, input that has arrived meanwhile is read first.
 
 use crate::clock::Clock;
 use crate::command::{Command, CommandKind};
@@ -69,8 +69,8 @@
         (ControlLoop { controller, clock, events, delivery, status, log }, handles)
     }
 
-    /// Runs until shutdown. Final iterations send the commands issued so far, and resend those of failed calls,
-    /// since proxies that have not yet moved to another instance still act on them.
+    /// Runs until shutdown. Final iterations send the commands issued so far, and resend those of failed
+    /// calls, since proxies that have not yet moved to another instance still act on them.
     pub async fn run(mut self, shutdown: CancellationToken) {
         while !shutdown.is_cancelled() {
             let first_event = self.wait_for_event(&shutdown).await;
--- a/control-plane/src/proxy_snapshot.rs
+++ b/control-plane/src/proxy_snapshot.rs
@@ -15,8 +15,8 @@
         ProxySnapshot { joined: Some(BTreeSet::new()), proxy_count }
     }
 
-    /// Adds a proxy that the stream lists as joined. One that does not exist is ignored, so that an invalid stream
-    /// can't make the snapshot grow without bound.
+    /// Adds a proxy that the stream lists as joined. One that does not exist is ignored, so that an invalid
+    /// stream can't make the snapshot grow without bound.
     pub fn insert(&mut self, proxy: u32) {
         if proxy >= self.proxy_count {
             return;
--- a/control-plane/src/turn_budget.rs
+++ b/control-plane/src/turn_budget.rs
@@ -1,7 +1,7 @@
 //! A bound on the work that a task does before the other tasks get their turn.
 //!
-//! All tasks share one thread. A task that finds more input each time it looks, as the peer sends at full speed,
-//! does not wait and so never lets the others run by itself.
+//! All tasks share one thread. A task that finds more input each time it looks, as the peer sends at full
+//! speed, does not wait and so never lets the others run by itself.
 
 use tokio::task::yield_now;
 
--- a/control-plane/tests/sockets/commands.rs
+++ b/control-plane/tests/sockets/commands.rs
@@ -242,8 +242,8 @@
     assert!(control_plane.http_get("/state").contains(r#""opened":1,"#));
 }
 
-/// Guards against a drain that waits for as many calls as the relay rejects commands: it was read only once all
-/// queued commands had been sent.
+/// Guards against a drain that waits for as many calls as the relay rejects commands: it was read only once
+/// all queued commands had been sent.
 #[test]
 fn a_removal_goes_before_commands_that_the_relay_rejects_one_by_one() {
     let Testbed { list, relay, control_plane: _control_plane } = Testbed::start_with_proxy();
@@ -264,8 +264,8 @@
     assert!(calls.iter().any(|call| removes(&call[0])), "{calls:?}");
 }
 
-/// Guards against assignments of proxies that left while their call failed: the relay rejects each of them, and
-/// each costs a call of its own.
+/// Guards against assignments of proxies that left while their call failed: the relay rejects each of them,
+/// and each costs a call of its own.
 #[test]
 fn a_failed_call_is_resent_without_the_assignments_of_proxies_that_left() {
     let Testbed { relay, control_plane, .. } = Testbed::start_with_proxy();
@@ -288,8 +288,8 @@
     }
 }
 
-/// Guards against commands that are sent to the proxies again and again although they have acknowledged them: each
-/// copy takes one of the messages that a proxy may be sent.
+/// Guards against commands that are sent to the proxies again and again although they have acknowledged them:
+/// each copy takes one of the messages that a proxy may be sent.
 #[test]
 fn a_failed_call_that_the_proxies_acknowledged_is_not_repeated() {
     let Testbed { list, relay, control_plane } = Testbed::start_with_proxy();
--- a/control-plane/tests/sockets/connections.rs
+++ b/control-plane/tests/sockets/connections.rs
@@ -278,8 +278,8 @@
     assert!(peak < MEMORY_LIMIT_MB, "{peak} MiB");
 }
 
-/// Guards against a collector that keeps a connection for which it has no slot any more, by sending on: hundreds
-/// of them exceeded the limit on sockets.
+/// Guards against a collector that keeps a connection for which it has no slot any more, by sending on:
+/// hundreds of them exceeded the limit on sockets.
 #[test]
 fn a_collector_that_sends_on_after_newer_ones_took_its_slot_is_disconnected() {
     const COLLECTORS: usize = 40;
--- a/src/channel_backlog.rs
+++ b/src/channel_backlog.rs
@@ -157,9 +157,9 @@
     /// Records that the messages that are not known to have entered the channel are sent again now, as one
     /// message to each proxy. Returns the number that acknowledges them.
     ///
-    /// If they may have entered the channel before, it may carry both: the lines count twice. Of the copies, only
-    /// the latest counts as a message, and each that was acknowledged. So a copy must not be sent before an
-    /// acknowledgement of the one before it would have arrived.
+    /// If they may have entered the channel before, it may carry both: the lines count twice. Of the copies,
+    /// only the latest counts as a message, and each that was acknowledged. So a copy must not be sent before
+    /// an acknowledgement of the one before it would have arrived.
     pub fn record_resend(&mut self, now: Moment, earlier: EarlierDelivery) -> Option<u32> {
         for (proxy, lines) in self.undelivered_lines() {
             match earlier {
--- a/src/config.rs
+++ b/src/config.rs
@@ -83,8 +83,8 @@
     pub slow_start_window: Span,
     /// The fraction of its capacity that an endpoint has at its start at least.
     pub initial_capacity: f64,
-    /// The multiple of its present capacity under which an endpoint collapses before the end of its slow start;
-    /// 0: not stated.
+    /// The multiple of its present capacity under which an endpoint collapses before the end of its slow
+    /// start; 0: not stated.
     pub collapse_multiple: f64,
     /// Whether the drain grace applies only to draining endpoints, not to those that were only removed from
     /// the list.
--- a/src/controller/changes.rs
+++ b/src/controller/changes.rs
@@ -7,8 +7,8 @@
 //! endpoints of a table at once is more likely to be wrong than right.
 //!
 //! Each change carries its urgency. Only what an endpoint did by itself sets a deadline: it stopped being
-//! ready or restarted. A change that follows from a decision of routing, such as an arc that moves on to other
-//! endpoints, can wait.
+//! ready or restarted. A change that follows from a decision of routing, such as an arc that moves on to
+//! other endpoints, can wait.
 
 use super::assignment::ASSIGNMENT_RETRY_INTERVAL;
 use super::channel::ChannelLimits;
@@ -67,8 +67,8 @@
 }
 
 impl ChangeContext<'_> {
-    /// The urgency of a removal: the drain grace of an endpoint that stopped being ready is running, and a cold
-    /// one may be overloaded.
+    /// The urgency of a removal: the drain grace of an endpoint that stopped being ready is running, and a
+    /// cold one may be overloaded.
     fn removal_urgency(&self, id: &EndpointId, is_held_back: bool) -> Urgency {
         match self.endpoints.get(id).and_then(Endpoint::unready_since) {
             Some(since) => Urgency::within_grace(since, self.config),
@@ -78,8 +78,8 @@
     }
 
     /// The urgency of a weight that replaces the published one, in a table that may hold no warm endpoint. An
-    /// endpoint that has restarted may be overloaded by its former weight. If a table holds cold endpoints only,
-    /// each further endpoint takes load from them.
+    /// endpoint that has restarted may be overloaded by its former weight. If a table holds cold endpoints
+    /// only, each further endpoint takes load from them.
     fn weight_urgency(
         &self,
         id: &EndpointId,
--- a/src/controller/cold_tables.rs
+++ b/src/controller/cold_tables.rs
@@ -1,9 +1,9 @@
 //! Route tables of which all endpoints are cold.
 //!
 //! A table gets all requests of its proxies. If a zone or the whole fleet returns cold, the endpoint that is
-//! listed first would get them alone, and collapse before the others are listed. So a table whose endpoints are
-//! all cold is empty until they can carry its usual load together. A table that may hold a warm endpoint is
-//! never concerned.
+//! listed first would get them alone, and collapse before the others are listed. So a table whose endpoints
+//! are all cold is empty until they can carry its usual load together. A table that may hold a warm endpoint
+//! is never concerned.
 
 use super::candidate::Candidate;
 
@@ -17,8 +17,8 @@
 
 /// Whether the endpoints that a table may hold are all cold and together can't carry its usual load yet: each
 /// would get more than `collapse_multiple` times its present capacity, under which a cold endpoint collapses
-/// (0: not stated). `usual_weight` is the total weight of the warm endpoints that usually carry that load; 0 if
-/// there never was any.
+/// (0: not stated). `usual_weight` is the total weight of the warm endpoints that usually carry that load; 0
+/// if there never was any.
 pub(super) fn lack_capacity<'a>(
     candidates: impl Iterator<Item = &'a Candidate> + Clone,
     usual_weight: f64,
--- a/src/controller/cold_tables/tests.rs
+++ b/src/controller/cold_tables/tests.rs
@@ -49,7 +49,8 @@
     assert!(controller.host.weight(0, "a") > Some(0.0));
 }
 
-/// Guards against further endpoints that wait for ordinary messages while one cold endpoint gets all requests.
+/// Guards against further endpoints that wait for ordinary messages while one cold endpoint gets all
+/// requests.
 #[test]
 fn a_further_endpoint_is_added_at_once_to_a_table_of_cold_endpoints_only() {
     let mut controller = running_controller(config(), &["a", "b"], 1);
@@ -162,8 +163,8 @@
     worst
 }
 
-/// Guards against the first of several cold endpoints that return to a zone: where requests must not leave the
-/// zone, it got all of them and collapsed, while the others waited for their weights.
+/// Guards against the first of several cold endpoints that return to a zone: where requests must not leave
+/// the zone, it got all of them and collapsed, while the others waited for their weights.
 #[test]
 fn no_endpoint_collapses_when_all_of_a_zone_return_cold_one_after_the_other() {
     for told_every_secs in [0.0, 0.3, 1.0, 2.5] {
--- a/src/controller/delivery.rs
+++ b/src/controller/delivery.rs
@@ -2,11 +2,12 @@
 //!
 //! Commands that were lost, or may have been, are resent; only their acknowledgement request may be added or
 //! replaced. Until they are accepted, only commands with a deadline are sent, since all others would queue up
-//! and arrive in one burst. A copy that is sent again is a message like any other: it waits until the limit on
-//! messages permits it, and until an acknowledgement would have shown whether the one before it counts.
+//! and arrive in one burst. A copy that is sent again is a message like any other: it waits until the limit
+//! on messages permits it, and until an acknowledgement would have shown whether the one before it counts.
 //!
-//! If all outstanding acknowledgements are lost while the queue is long, because their proxies left or the event
-//! stream broke, one proxy is assigned to a table of its own again so that it sends a new acknowledgement.
+//! If all outstanding acknowledgements are lost while the queue is long, because their proxies left or the
+//! event stream broke, one proxy is assigned to a table of its own again so that it sends a new
+//! acknowledgement.
 
 use super::channel::ChannelLimits;
 use super::urgency::Urgency;
@@ -57,9 +58,9 @@
         self.host.schedule_timer(delay, Timer::Resend);
     }
 
-    /// If the lost commands may have arrived, the channel gets time to carry the possible copy. Where the number
-    /// of messages is limited, their acknowledgement gets time to arrive as well: it shows whether the copy
-    /// counts.
+    /// If the lost commands may have arrived, the channel gets time to carry the possible copy. Where the
+    /// number of messages is limited, their acknowledgement gets time to arrive as well: it shows whether the
+    /// copy counts.
     fn resend_delay(&self) -> Span {
         let lines: f64 = self.channel.backlog.undelivered_lines().iter().map(|(_, lines)| lines).sum();
         if !self.delivery.may_have_arrived || lines == 0.0 {
--- a/src/controller/delivery/tests.rs
+++ b/src/controller/delivery/tests.rs
@@ -102,8 +102,8 @@
     assert_eq!(controller.host.weight(0, "b"), Some(2.0));
 }
 
-/// Guards against copies of which each counts as a message, although none was carried out: the limit on messages
-/// was used up by them, and the next drain waited until they were out of its window.
+/// Guards against copies of which each counts as a message, although none was carried out: the limit on
+/// messages was used up by them, and the next drain waited until they were out of its window.
 #[test]
 fn a_drain_is_published_in_time_after_calls_were_reset() {
     for reset_secs in [1.5, 6.0] {
--- a/src/controller/ejection/tests.rs
+++ b/src/controller/ejection/tests.rs
@@ -40,8 +40,9 @@
     assert_eq!(controller.host.ejections(), [eject("a"), restore("a"), eject("a")]);
 }
 
-/// Guards against an ejection for each proxy that joins: at those that joined before, each is one of the messages
-/// that they may be sent. The drain grace counts from the join of the later proxy, so ejections can be collected.
+/// Guards against an ejection for each proxy that joins: at those that joined before, each is one of the
+/// messages that they may be sent. The drain grace counts from the join of the later proxy, so ejections can
+/// be collected.
 #[test]
 fn ejections_for_proxies_that_join_one_after_the_other_are_collected() {
     let mut controller = running_large_fleet(3.0, 12);
--- a/src/controller/endpoints.rs
+++ b/src/controller/endpoints.rs
@@ -44,8 +44,8 @@
     pub(super) ejected: bool,
     /// Whether the ejection was sent to all proxies with stale tables; false again once another proxy joins.
     pub(super) ejected_everywhere: bool,
-    /// Since when an ejection has been due, if one is: it stopped being ready, or a proxy joined after the last
-    /// ejection. At that proxy the drain grace counts from the join.
+    /// Since when an ejection has been due, if one is: it stopped being ready, or a proxy joined after the
+    /// last ejection. At that proxy the drain grace counts from the join.
     pub(super) ejection_due_since: Moment,
     /// The state that outlier detection keeps for it.
     pub(super) outlier: OutlierState,
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -216,8 +216,8 @@
         }
     }
 
-    /// Handles a failed delivery of commands that were not accepted yet. `may_have_arrived` means that they may
-    /// have arrived nevertheless. Until all are accepted, only commands with a deadline are issued.
+    /// Handles a failed delivery of commands that were not accepted yet. `may_have_arrived` means that they
+    /// may have arrived nevertheless. Until all are accepted, only commands with a deadline are issued.
     pub fn commands_lost(&mut self, now: Moment, may_have_arrived: bool) {
         self.schedule_resend(now, may_have_arrived);
     }
--- a/src/controller/peak_weight.rs
+++ b/src/controller/peak_weight.rs
@@ -1,6 +1,7 @@
 //! The recent peak of a total weight, from which a loss of endpoints is recognized.
 //!
-//! The endpoint registry keeps one for the fleet, and each route table one for the endpoints that it may hold.
+//! The endpoint registry keeps one for the fleet, and each route table one for the endpoints that it may
+//! hold.
 
 /// The factor by which the peak decays at each evaluation.
 const PEAK_DECAY: f64 = 0.99;
--- a/src/controller/publication.rs
+++ b/src/controller/publication.rs
@@ -1,9 +1,9 @@
 //! Publication of route table changes: when they are sent, and in which order.
 //!
-//! [`Controller`] publishes whenever it issues commands. Urgent changes (an endpoint stopped being ready or has
-//! restarted, or the table was empty) are sent as soon as the queue is short, in batches that fit into it;
-//! those with the earliest deadline are in the first batch. If the batch holds all urgent changes,
-//! each of its messages also carries the ordinary changes of its table that fit. The more channel time the
+//! [`Controller`] publishes whenever it issues commands. Urgent changes (an endpoint stopped being ready or
+//! has restarted, or the table was empty) are sent as soon as the queue is short, in batches that fit into
+//! it; those with the earliest deadline are in the first batch. If the batch holds all urgent changes, each
+//! of its messages also carries the ordinary changes of its table that fit. The more channel time the
 //! previous ordinary changes took, the longer new ones are collected. Only changes that were sent through the
 //! host are marked as published.
 
--- a/src/controller/push_limit.rs
+++ b/src/controller/push_limit.rs
@@ -4,8 +4,9 @@
 //! [`Channel`](super::channel::Channel) asks here before each message to a proxy. A message is sent
 //! immediately if the limit also permits one urgent message per hold time after it. So endpoints that stop
 //! being ready one after the other can't use up the limit, and none of their removals waits for longer than
-//! the hold time, which is a part of the drain grace. That holds only if nothing but a message with a deadline
-//! is ever sent without regard to it. Ordinary messages moreover leave a part of the limit to urgent ones.
+//! the hold time, which is a part of the drain grace. That holds only if nothing but a message with a
+//! deadline is ever sent without regard to it. Ordinary messages moreover leave a part of the limit to urgent
+//! ones.
 
 use super::urgency::Urgency;
 use crate::config::ControllerConfig;
--- a/src/controller/routing.rs
+++ b/src/controller/routing.rs
@@ -173,7 +173,8 @@
 #[derive(Default)]
 pub(super) struct DesiredWeights {
     pub(super) weights: BTreeMap<EndpointId, EndpointWeight>,
-    /// Whether the table should be empty for now, because its endpoints are cold and can't carry its load yet.
+    /// Whether the table should be empty for now, because its endpoints are cold and can't carry its load
+    /// yet.
     pub(super) is_held_back: bool,
 }
 
--- a/src/controller/routing/tests.rs
+++ b/src/controller/routing/tests.rs
@@ -214,7 +214,10 @@
     }
     timeline.run_until(75.0);
     for (drained_at, endpoint) in [(65.1, "s1"), (66.0, "s2"), (66.9, "s3")] {
-        let removes = |command: &Command| matches!(command, Command::SetWeight { endpoint: id, weight, .. } if &**id == endpoint && *weight == 0.0);
+        let removes = |command: &Command| match command {
+            Command::SetWeight { endpoint: id, weight, .. } => &**id == endpoint && *weight == 0.0,
+            _ => false,
+        };
         let removed_at = timeline.last_issued(removes).expect("some table held the endpoint");
         let waited = removed_at - at(drained_at);
         assert!(waited <= Span::from_secs(1.5 - 0.275), "{endpoint}: removed {} s later", waited.as_secs());
--- a/src/controller/routing_snapshot.rs
+++ b/src/controller/routing_snapshot.rs
@@ -1,7 +1,7 @@
 //! The inputs from which the weights of all route tables are computed at one point in time.
 //!
-//! Publication collects a snapshot whenever it publishes; `routing` computes the weights of each table from it,
-//! and `changes` the urgency of each change.
+//! Publication collects a snapshot whenever it publishes; `routing` computes the weights of each table from
+//! it, and `changes` the urgency of each change.
 
 use super::candidate::{routable_capacity, Candidate};
 use super::channel::ChannelLimits;
--- a/src/controller/test_support.rs
+++ b/src/controller/test_support.rs
@@ -38,8 +38,8 @@
     NotExecuted,
 }
 
-/// Runs a controller in simulated time: fires the timers that it schedules, carries its commands in calls, and
-/// lets every proxy acknowledge the commands for which it requests that.
+/// Runs a controller in simulated time: fires the timers that it schedules, carries its commands in calls,
+/// and lets every proxy acknowledge the commands for which it requests that.
 pub(super) struct Timeline {
     pub(super) controller: TestController,
     now: Moment,
--- a/src/host.rs
+++ b/src/host.rs
@@ -129,8 +129,8 @@
     /// Assigns a route table to a joined proxy for some request classes, in place of the table that it has
     /// for them.
     fn assign_table(&mut self, proxy: u32, table: u32, classes: RequestClassSet);
-    /// Stops all joined proxies from using an endpoint, whichever tables they are assigned. `deadline` as for a
-    /// weight.
+    /// Stops all joined proxies from using an endpoint, whichever tables they are assigned. `deadline` as for
+    /// a weight.
     fn eject_endpoint(&mut self, endpoint: &EndpointId, deadline: Option<Moment>);
     /// Lifts the ejection of an endpoint.
     fn restore_endpoint(&mut self, endpoint: &EndpointId);
