The assignment that recovers acknowledgements asks for the limit on messages too

If all acknowledgements are lost, one proxy is assigned again, whatever it was sent before: the last message that did not ask for the limit.

Change: it is made only if the limit permits a message to the proxy.

Result: the new test failed before (an assignment beyond the limit).

--- a/src/controller/delivery.rs
+++ b/src/controller/delivery.rs
@@ -124,8 +124,10 @@
             }
         }
         let position = (candidates.len() as f64 * self.rng.next_f64()) as usize;
-        if let Some((proxy, table)) = candidates.get(position) {
-            self.assign(now, *proxy, *table, limits);
+        let Some((proxy, table)) = candidates.get(position).copied() else { return };
+        // If this proxy may not be sent a message now, another one may be chosen the next time.
+        if self.channel.may_push(now, Urgency::Prompt, proxy, limits) {
+            self.assign(now, proxy, table, limits);
         }
     }
 
--- a/src/controller/delivery/tests.rs
+++ b/src/controller/delivery/tests.rs
@@ -32,6 +32,17 @@
     assert_eq!((controller.host.assignment_count(), acknowledgements), (1, 1));
 }
 
+#[test]
+fn no_proxy_is_assigned_again_for_acknowledgements_beyond_the_message_limit() {
+    let config = ControllerConfig { max_transit: Span::from_secs(0.1), ..config() };
+    let mut controller = running_controller(config, &["a", "b"], 1);
+    for message in 0..12 {
+        controller.channel.backlog.record(at(1.0 + 0.01 * f64::from(message)), 0, 40.0, 0.0);
+    }
+    controller.issue_commands(at(2.7));
+    assert_eq!(controller.host.assignment_count(), 0);
+}
+
 #[test]
 fn lost_commands_are_resent_and_nothing_without_a_deadline_overtakes_them() {
     let mut controller = running_controller(config(), &["a", "b"], 1);
