--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -336,8 +336,9 @@
         }
         let limits = ChannelLimits::new(&self.config, &self.endpoints);
         let is_queue_short = self.channel.is_queue_short(now, &limits);
-        self.publish_changes_with_deadline(now, &limits, is_queue_short);
-        if self.eject_from_stale_tables(now, &limits, is_queue_short) {
+        let changes_deferred = self.publish_changes_with_deadline(now, &limits, is_queue_short);
+        let ejections_deferred = self.eject_from_stale_tables(now, &limits, is_queue_short);
+        if changes_deferred || ejections_deferred {
             self.schedule_recheck();
         }
         self.request_acknowledgement(now, &limits);
--- a/src/controller/publication.rs
+++ b/src/controller/publication.rs
@@ -59,10 +59,8 @@
         is_queue_short: bool,
     ) -> bool {
         let mut pending = self.collect_changes(now, limits);
-        let mut batch = UrgentBatch::new(&pending);
-        let available = self.channel.available_lines(now, batch.urgency, &batch.receivers, limits);
-        let urgent_lines = if is_queue_short { batch.fill(available, &pending, limits) } else { 0.0 };
-        let lines_before = self.channel.backlog.recorded_lines + urgent_lines;
+        let batch = self.urgent_batch(now, limits, &pending, is_queue_short);
+        let lines_before = self.channel.backlog.recorded_lines + batch.lines;
         let mut has_deferred = !batch.is_complete();
         let ordinary_due = ordinary_due && batch.is_complete();
         // The table whose last commands are the oldest goes first. Otherwise a table that changes constantly
@@ -79,29 +77,39 @@
     }
 
     /// Publishes the changes with a deadline that fit into the channel, and nothing else. Used while earlier
-    /// commands are not accepted yet.
+    /// commands are not accepted yet. Returns whether changes were deferred because they did not fit.
     pub(super) fn publish_changes_with_deadline(
         &mut self,
         now: Moment,
         limits: &ChannelLimits,
         is_queue_short: bool,
-    ) {
+    ) -> bool {
         let mut pending = self.all_changes(now, limits);
         for table in &mut pending {
             table.changes.retain(|change| change.urgency.deadline().is_some());
         }
-        let mut batch = UrgentBatch::new(&pending);
-        let available = self.channel.available_lines(now, batch.urgency, &batch.receivers, limits);
-        if is_queue_short {
-            batch.fill(available, &pending, limits);
-        }
-        if !batch.is_complete() {
-            self.schedule_recheck();
-        }
+        let batch = self.urgent_batch(now, limits, &pending, is_queue_short);
         for mut table in pending {
             batch.retain_sendable(&mut table.changes, 0);
             self.send_changes(now, limits, table, false);
         }
+        !batch.is_complete()
+    }
+
+    /// The batch of the urgent changes that fit into the channel; empty while the queue is long.
+    fn urgent_batch(
+        &mut self,
+        now: Moment,
+        limits: &ChannelLimits,
+        pending: &[TableChanges],
+        is_queue_short: bool,
+    ) -> UrgentBatch {
+        let mut batch = UrgentBatch::new(pending);
+        if is_queue_short {
+            let available = self.channel.available_lines(now, batch.urgency, &batch.receivers, limits);
+            batch.fill(available, pending, limits);
+        }
+        batch
     }
 
     /// Computes the changes of all tables. Returns those of tables with receivers; the others cost no lines
--- a/src/controller/urgent_batch.rs
+++ b/src/controller/urgent_batch.rs
@@ -16,6 +16,8 @@
     positions: BTreeMap<EndpointId, usize>,
     /// The number of endpoints whose urgent changes are sent now, counted from position 0.
     size: usize,
+    /// The lines that the urgent changes that are sent now take, summed over all receivers.
+    pub(super) lines: f64,
     /// The urgency of the endpoint at position 0; [`Urgency::Ordinary`] if there are no urgent changes.
     pub(super) urgency: Urgency,
     /// The proxies that urgent changes are sent to, in ascending order.
@@ -40,16 +42,15 @@
         let urgency = ordered.first().map_or(Urgency::Ordinary, |(urgency, _)| *urgency);
         let positions = ordered.into_iter().enumerate().map(|(position, (_, id))| (id.clone(), position));
         let receivers = receivers.into_iter().collect();
-        UrgentBatch { positions: positions.collect(), size: 0, urgency, receivers }
+        UrgentBatch { positions: positions.collect(), size: 0, lines: 0.0, urgency, receivers }
     }
 
-    /// Includes as many endpoints as fit into `available` lines. Returns the lines that their changes take.
-    pub(super) fn fill(&mut self, available: f64, pending: &[TableChanges], limits: &ChannelLimits) -> f64 {
+    /// Includes as many endpoints as fit into `available` lines.
+    pub(super) fn fill(&mut self, available: f64, pending: &[TableChanges], limits: &ChannelLimits) {
         let cost = |size| self.cost(size, pending, limits.message_overhead);
         let size = limits.largest_batch(self.positions.len(), available, cost);
-        let lines = if size > 0 { cost(size) } else { 0.0 };
+        self.lines = cost(size);
         self.size = size;
-        lines
     }
 
     /// Whether all urgent changes are sent now.
