Each retained weight leaves its table within the grace of its own endpoint

Cause: retains_weights decided for the table as a whole, from when the table lost its last ready endpoint; the registry did not know when an endpoint was first listed as draining.

Change: retention is a module of its own. The registry notes when an endpoint was first listed as draining since it was last ready; a weight to which the grace applies leaves while its removal can still be sent within that grace, counting queued lines and all other such removals. Endpoints that were only dropped stay for 3 s, as before, where removals don't bind.

--- a/src/controller/changes.rs
+++ b/src/controller/changes.rs
@@ -2,15 +2,12 @@
 //! sending.
 //!
 //! Publication requests the changes of every table from here. Small differences are not worth the lines that
-//! they cost. If a table has no desired weights left, but one of its endpoints that was removed from the
-//! endpoint list answered recently, the table retains its weights for a limited time: a list that drops all
-//! endpoints of a table at once is more likely to be wrong than right.
+//! they cost. Weights that are not desired are removed, except for those that `retention` keeps for a while.
 //!
 //! Each change carries its urgency. Only what an endpoint did by itself sets a deadline: it stopped being
 //! ready or restarted. A change that follows from a decision of routing, such as an arc that moves on to
 //! other endpoints, can wait.
 
-use super::assignment::ASSIGNMENT_RETRY_INTERVAL;
 use super::channel::ChannelLimits;
 use super::endpoints::{Endpoint, EndpointRegistry};
 use super::routing::{DesiredWeights, RouteTable};
@@ -18,8 +15,7 @@
 use super::slow_start::EndpointWeight;
 use super::urgency::Urgency;
 use crate::config::ControllerConfig;
-use crate::host::{EndpointId, EndpointState};
-use crate::time::{Moment, Span};
+use crate::host::EndpointId;
 
 /// A weight change of an endpoint that is warming up is sent only if the old and the new weight differ by
 /// more than this factor.
@@ -33,13 +29,6 @@
 /// desired weight of the table and the seconds that the channel needs to send one line to every receiver.
 const MIN_DIFFERENCE_PER_SEC: f64 = 4.0;
 
-/// The longest time for which a table retains its weights when none is desired. Also the age below which an
-/// answer of a removed endpoint counts as recent.
-const MAX_RETENTION_TIME: Span = ASSIGNMENT_RETRY_INTERVAL;
-/// If the drain grace also applies to removed endpoints, a table retains its weights for at most this
-/// fraction of the grace, less the maximum transit time.
-const RETENTION_GRACE_FRACTION: f64 = 0.6;
-
 /// A weight to set for one endpoint of a table.
 pub(super) struct WeightChange {
     pub(super) id: EndpointId,
@@ -131,7 +120,7 @@
 fn removals(table: &RouteTable, desired: &DesiredWeights, context: &ChangeContext) -> Vec<WeightChange> {
     let mut removals = Vec::new();
     for (id, published) in &table.weights {
-        if !desired.weights.contains_key(id) {
+        if !desired.weights.contains_key(id) && !desired.retained.contains(id) {
             let urgency = context.removal_urgency(id, desired.is_held_back);
             removals.push(WeightChange { id: id.clone(), weight: 0.0, urgency, difference: *published });
         }
@@ -139,31 +128,5 @@
     removals
 }
 
-/// Whether a table without desired weights retains its published weights for now, because one of its
-/// endpoints was removed from the list although it answered recently. Records when the retention began.
-pub(super) fn retains_weights(
-    table: &mut RouteTable,
-    endpoints: &EndpointRegistry,
-    config: &ControllerConfig,
-    now: Moment,
-) -> bool {
-    let within_grace = config.drain_grace * RETENTION_GRACE_FRACTION - config.max_transit;
-    let max_time = if config.drain_grace_excludes_removed {
-        MAX_RETENTION_TIME
-    } else {
-        MAX_RETENTION_TIME.min(within_grace)
-    };
-    let still_answers = |id: &EndpointId| {
-        endpoints.get(id).is_some_and(|endpoint| {
-            endpoint.state == EndpointState::Removed
-                && endpoint.last_answered.is_some_and(|at| now - at < MAX_RETENTION_TIME)
-        })
-    };
-    if table.retained_since.is_none() && table.weights.keys().any(still_answers) {
-        table.retained_since = Some(now);
-    }
-    table.retained_since.is_some_and(|since| now - since < max_time)
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/controller/channel.rs
+++ b/src/controller/channel.rs
@@ -210,6 +210,13 @@
         push_limit.allows(now, urgency, sent)
     }
 
+    /// How many more messages the limit on the messages to each proxy permits to this proxy within the window
+    /// that ends now.
+    pub(super) fn remaining_messages(&mut self, now: Moment, proxy: u32, limits: &ChannelLimits) -> usize {
+        let sent = self.backlog.recent_messages(now, proxy, limits.push_limit.window());
+        limits.push_limit.remaining(sent)
+    }
+
     /// Whether the queue is so long that the proxies should acknowledge the commands that they receive.
     pub(super) fn needs_acknowledgement(&self, now: Moment, limits: &ChannelLimits) -> bool {
         !limits.is_nearly_idle(self.backlog.queued_lines(now))
--- a/src/controller/ejection.rs
+++ b/src/controller/ejection.rs
@@ -107,7 +107,7 @@
         unassigned.filter(move |_| ejections > 0).map(move |(number, proxy)| cost(*number, proxy))
     }
 
-    fn ejection_cost(&self, ejections: usize, limits: &ChannelLimits) -> f64 {
+    pub(super) fn ejection_cost(&self, ejections: usize, limits: &ChannelLimits) -> f64 {
         self.stale_proxy_costs(ejections, limits).map(|cost| cost.lines + cost.overhead).sum()
     }
 
--- a/src/controller/endpoints.rs
+++ b/src/controller/endpoints.rs
@@ -6,6 +6,7 @@
 //! delay before a failed list watch is retried.
 
 use super::peak_weight::PeakWeight;
+use crate::config::ControllerConfig;
 use crate::histogram::Histogram;
 use crate::host::{EndpointId, EndpointState, EndpointUpdate};
 use crate::seeded_rng::SeededRng;
@@ -40,6 +41,9 @@
     pub(super) last_answered: Option<Moment>,
     /// When it was last known to be ready; its first appearance if it never was.
     pub(super) last_ready: Moment,
+    /// When it was first listed as draining since it was last ready, if it was: also if it has been removed
+    /// from the list since.
+    pub(super) draining_since: Option<Moment>,
     /// Whether it stopped being ready and was ejected from the proxies that were joined at the time.
     pub(super) ejected: bool,
     /// Whether the ejection was sent to all proxies with stale tables; false again once another proxy joins.
@@ -86,12 +90,28 @@
         (!self.is_ready()).then_some(self.last_ready)
     }
 
+    /// Since when its drain grace has been running; `None` if it is ready, or if it was only removed from the
+    /// list and the grace does not apply to that.
+    pub(super) fn grace_since(&self, config: &ControllerConfig) -> Option<Moment> {
+        let unready_since = self.unready_since()?;
+        if config.drain_grace_excludes_removed {
+            self.draining_since
+        } else {
+            Some(unready_since)
+        }
+    }
+
     /// Applies a state from the endpoint list.
     pub(super) fn set_state(&mut self, now: Moment, state: EndpointState) {
         if self.is_ready() {
             self.last_ready = now;
             self.ejection_due_since = now;
         }
+        match state {
+            EndpointState::Ready => self.draining_since = None,
+            EndpointState::Draining => self.draining_since = self.draining_since.or(Some(now)),
+            EndpointState::Removed => {}
+        }
         self.state = state;
     }
 
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -23,6 +23,7 @@
 //! | `routing` | which endpoints a route table should hold |
 //! | `cold_tables` | when a table whose endpoints are all cold stays empty |
 //! | `peak_weight` | how much weight usually carries the load |
+//! | `retention` | which weights a table keeps for a while although none is desired |
 //! | `changes` | which differences from the published tables are worth sending |
 //! | `publication` | when changes are sent, and in which order |
 //! | `urgency` | by when a command must be sent |
@@ -51,6 +52,7 @@
 mod proxies;
 mod publication;
 mod push_limit;
+mod retention;
 mod routing;
 mod routing_snapshot;
 mod sharding;
--- a/src/controller/publication.rs
+++ b/src/controller/publication.rs
@@ -17,6 +17,7 @@
 use super::Controller;
 use crate::host::{Host, RequestClassSet};
 use crate::time::{Moment, Span};
+use std::collections::BTreeMap;
 
 /// The minimum time between the last commands for a table and a message with only ordinary changes.
 const MIN_PUBLICATION_INTERVAL: Span = Span::from_us(1_000_000);
@@ -129,16 +130,32 @@
     /// Computes the changes of all tables.
     fn all_changes(&mut self, now: Moment, limits: &ChannelLimits) -> Vec<TableChanges> {
         let snapshot = self.routing_snapshot(now, limits);
-        let mut receivers_by_table = self.proxies.receivers_by_table();
+        let receivers_by_table = self.proxies.receivers_by_table();
+        let mut desired_by_table = self.desired_weights(&snapshot);
+        self.retain_weights(now, limits, &mut desired_by_table, &receivers_by_table);
+        let context = ChangeContext { endpoints: &self.endpoints, snapshot: &snapshot, config: &self.config };
         let mut all = Vec::new();
-        for number in self.tables.by_number.keys().copied().collect::<Vec<_>>() {
-            let receivers = receivers_by_table.remove(&number).unwrap_or_default();
-            let changes = self.table_changes(now, limits, number, receivers.len(), &snapshot);
+        for (number, desired) in desired_by_table {
+            let table = &self.tables.by_number[&number];
+            let receivers = receivers_by_table.get(&number).cloned().unwrap_or_default();
+            let changes = changes::weight_changes(table, desired, receivers.len(), limits, &context);
             all.push(TableChanges { table: number, receivers, changes });
         }
         all
     }
 
+    /// The weights that each table should have now.
+    fn desired_weights(&mut self, snapshot: &RoutingSnapshot) -> BTreeMap<u32, DesiredWeights> {
+        let mut desired_by_table = BTreeMap::new();
+        for (number, table) in &mut self.tables.by_number {
+            desired_by_table.insert(*number, table.desired_weights(*number, snapshot));
+        }
+        if desired_by_table.values().any(|desired| desired.is_held_back) {
+            self.schedule_recheck();
+        }
+        desired_by_table
+    }
+
     fn routing_snapshot(&self, now: Moment, limits: &ChannelLimits) -> RoutingSnapshot {
         RoutingSnapshot::new(
             now,
@@ -151,41 +168,6 @@
         )
     }
 
-    fn table_changes(
-        &mut self,
-        now: Moment,
-        limits: &ChannelLimits,
-        number: u32,
-        receivers: usize,
-        snapshot: &RoutingSnapshot,
-    ) -> Vec<WeightChange> {
-        let Some(desired) = self.desired_weights(now, number, snapshot) else { return Vec::new() };
-        let Some(table) = self.tables.by_number.get(&number) else { return Vec::new() };
-        let context = ChangeContext { endpoints: &self.endpoints, snapshot, config: &self.config };
-        changes::weight_changes(table, desired, receivers, limits, &context)
-    }
-
-    /// The weights that a table should have now; `None` if it retains those that it has.
-    fn desired_weights(
-        &mut self,
-        now: Moment,
-        number: u32,
-        snapshot: &RoutingSnapshot,
-    ) -> Option<DesiredWeights> {
-        let table = self.tables.by_number.get_mut(&number)?;
-        let desired = table.desired_weights(number, snapshot);
-        let lacks_candidates = desired.weights.is_empty() && !desired.is_held_back;
-        let is_retained =
-            lacks_candidates && changes::retains_weights(table, &self.endpoints, &self.config, now);
-        if !is_retained {
-            table.retained_since = None;
-        }
-        if is_retained || desired.is_held_back {
-            self.schedule_recheck();
-        }
-        (!is_retained).then_some(desired)
-    }
-
     /// Sends the urgent changes of a table that are in the batch, and the ordinary changes that fit. Without
     /// urgent changes in the batch, ordinary ones are sent only if they are due and worth a message. Returns
     /// whether ordinary changes were deferred because they did not fit.
--- a/src/controller/push_limit.rs
+++ b/src/controller/push_limit.rs
@@ -76,6 +76,15 @@
         }
     }
 
+    /// How many more messages the limit permits. `sent` are the times of the messages within the window.
+    pub(super) fn remaining(&self, sent: &[Moment]) -> usize {
+        if self.is_limited() {
+            self.max_pushes.saturating_sub(sent.len())
+        } else {
+            usize::MAX
+        }
+    }
+
     /// Whether a message now counts against no limit: there is none, or the message is the first one, or it
     /// is sent together with the latest one.
     fn is_free(&self, now: Moment, sent: &[Moment]) -> bool {
--- a/src/controller/routing.rs
+++ b/src/controller/routing.rs
@@ -15,7 +15,7 @@
 use crate::config::RequestClassGroup;
 use crate::host::EndpointId;
 use crate::time::Moment;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// One in this many entries of a table is reserved for endpoints of other zones.
 const REMOTE_ENDPOINTS_DIVISOR: usize = 4;
@@ -45,8 +45,8 @@
     remote_factor: f64,
     /// The total weight of the warm endpoints that the table may hold.
     warm_weight: PeakWeight,
-    /// When the table started to retain its weights although none is desired, because an endpoint that was
-    /// removed from the list answered recently; `None` if it does not.
+    /// When the table started to retain weights although none is desired (see `retention`); `None` if it did
+    /// not, or if weights were desired since.
     pub(super) retained_since: Option<Moment>,
     /// When commands for this table were last sent.
     pub(super) last_sent: Moment,
@@ -118,7 +118,7 @@
             candidates.push(Candidate { weight, ..candidate.clone() });
         }
         let weights = slow_start_weights(candidates, &snapshot.fleet);
-        DesiredWeights { weights, is_held_back: false }
+        DesiredWeights { weights, ..DesiredWeights::default() }
     }
 
     /// Updates the remote factor so that remote endpoints take the load beyond the capacity of the home zone,
@@ -176,6 +176,15 @@
     /// Whether the table should be empty for now, because its endpoints are cold and can't carry its load
     /// yet.
     pub(super) is_held_back: bool,
+    /// Published weights that stay as they are for now although none is desired.
+    pub(super) retained: BTreeSet<EndpointId>,
+}
+
+impl DesiredWeights {
+    /// Whether no endpoint is ready that the table may hold.
+    pub(super) fn lack_endpoints(&self) -> bool {
+        self.weights.is_empty() && !self.is_held_back
+    }
 }
 
 /// The total routable capacity of endpoints inside and outside a table's home zone.
--- a/src/controller/urgency.rs
+++ b/src/controller/urgency.rs
@@ -4,7 +4,7 @@
 //! `urgent_batch`, `channel` and `push_limit` decide by it what goes first and what has to wait.
 
 use crate::config::ControllerConfig;
-use crate::time::Moment;
+use crate::time::{Moment, Span};
 
 /// How soon a command must be sent. A more urgent value is less than a less urgent one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -20,7 +20,7 @@
 impl Urgency {
     /// The urgency of a command that the proxies must apply within the drain grace after `since`.
     pub(super) fn within_grace(since: Moment, config: &ControllerConfig) -> Self {
-        Urgency::Deadline(since + (config.drain_grace - config.max_transit))
+        Urgency::Deadline(since + time_to_send(config))
     }
 
     /// When the command must have been sent, if it has a deadline.
@@ -36,3 +36,8 @@
         self == Urgency::Ordinary
     }
 }
+
+/// The part of the drain grace within which a command must be sent: the rest is for its transit.
+pub(super) fn time_to_send(config: &ControllerConfig) -> Span {
+    config.drain_grace - config.max_transit
+}
