A retained weight leaves once load reports show that its endpoint is gone

Cause: a table whose last endpoints crashed and drained at once retained the crashed ones too, so that they took requests (and lost them) which the draining ones could still answer. Any answer within 3 s counted as a sign of life, also after reports in which every attempt had failed.

Change: the registry notes when a report last covered attempts without any answer. A weight is no longer retained once that is half of a report's interval after the last answer, so that the reports of several zones, which come one after the other, don't contradict each other.

Measured: the new test fails before (the weight of the crashed endpoint stays).

--- a/src/controller/endpoints.rs
+++ b/src/controller/endpoints.rs
@@ -39,6 +39,8 @@
     pub(super) start_listed: Moment,
     /// When a load report last covered an attempt that it answered.
     pub(super) last_answered: Option<Moment>,
+    /// When a load report last covered attempts of which it answered none.
+    pub(super) last_unanswered: Option<Moment>,
     /// When it was last known to be ready; its first appearance if it never was.
     pub(super) last_ready: Moment,
     /// When it was first listed as draining since it was last ready, if it was: also if it has been removed
@@ -101,6 +103,13 @@
         }
     }
 
+    /// Whether the latest load reports show that it no longer answers. Reports of several zones arrive one
+    /// after the other, so a report without answers counts only if none of the same interval had any.
+    pub(super) fn has_stopped_answering(&self, report_interval: Span) -> bool {
+        let Some(unanswered) = self.last_unanswered else { return false };
+        self.last_answered.is_none_or(|answered| unanswered - answered >= report_interval * 0.5)
+    }
+
     /// Applies a state from the endpoint list.
     pub(super) fn set_state(&mut self, now: Moment, state: EndpointState) {
         if self.is_ready() {
--- a/src/controller/outliers.rs
+++ b/src/controller/outliers.rs
@@ -67,6 +67,8 @@
 ) {
     if outcomes.answered > 0.0 {
         endpoint.last_answered = Some(now);
+    } else if outcomes.failed > 0.0 {
+        endpoint.last_unanswered = Some(now);
     }
     // Reports arrive late and cover attempts that started earlier. Reports that arrive soon after a change of
     // the level therefore reflect the previous weight; they are skipped unless the weight is full again.
--- a/src/controller/retention.rs
+++ b/src/controller/retention.rs
@@ -66,6 +66,9 @@
         let Some(endpoint) = self.endpoints.get(id).filter(|endpoint| !endpoint.is_ready()) else {
             return false;
         };
+        if endpoint.has_stopped_answering(self.config.report_interval) {
+            return false;
+        }
         let deadline = removal_deadline(endpoint, self.config);
         match (deadline, self.lead_time) {
             (None, _) => true,
--- a/src/controller/retention/tests.rs
+++ b/src/controller/retention/tests.rs
@@ -1,7 +1,9 @@
 use crate::config::ControllerConfig;
 use crate::controller::test_support::Timeline;
 use crate::host::{EndpointState, EndpointUpdate, Timer};
-use crate::test_support::{at, config, draining, eject, removed, running_controller, set_weight};
+use crate::test_support::{
+    at, config, draining, eject, removed, running_controller, set_weight, TestController,
+};
 use crate::time::{Moment, Span};
 
 /// Something that the endpoint list tells, in seconds after the start of the test.
@@ -107,6 +109,25 @@
     }
 }
 
+/// Guards against requests that a table sends to crashed endpoints while its draining ones could answer them.
+#[test]
+fn a_retained_weight_is_removed_once_reports_show_that_its_endpoint_no_longer_answers() {
+    let mut controller = running_controller(only_draining_binds(), &["a", "b", "c"], 4);
+    let report = |controller: &mut TestController, now, id, failed| {
+        controller.outcomes_reported(now, id, 10.0, failed, Span::from_secs(0.1), Span::from_secs(1.0));
+    };
+    for id in ["a", "b", "c"] {
+        report(&mut controller, at(1.0), id, 0.0);
+    }
+    // "a" crashed; "b" is out of the reach of one zone only.
+    report(&mut controller, at(2.0), "a", 10.0);
+    report(&mut controller, at(2.0), "b", 0.0);
+    report(&mut controller, at(2.1), "b", 10.0);
+    controller.endpoints_updated(at(2.2), &[removed("a"), removed("b"), draining("c")]);
+    assert_eq!(controller.host.weight(0, "a"), Some(0.0));
+    assert_eq!((controller.host.weight(0, "b"), controller.host.weight(0, "c")), (None, None));
+}
+
 #[test]
 fn a_table_whose_endpoints_disappeared_and_do_not_answer_is_emptied() {
     let mut controller = running_controller(config(), &["a"], 1);
