An endpoint that was only dropped no longer takes the message that a drain needs

What callers saw: where only draining binds, a drain is carried out 7.75 s after it was told, when a dropped endpoint's removal took the last of the 12 messages that a proxy may get in 10 s.

Cause: the removal and the ejection of any endpoint that is not ready had a deadline from when it was last ready, also where the grace does not apply to it. A message with a deadline that has waited for the hold time goes without leaving room for later ones; a removal that was retained first was overdue from the start.

Change: Urgency::of_unready gives a deadline only where the grace applies, and weights, ejections and shards use it. Each ejection goes by its own urgency; while earlier commands are not accepted, only those with a deadline go.

--- a/src/controller/changes.rs
+++ b/src/controller/changes.rs
@@ -9,7 +9,7 @@
 //! other endpoints, can wait.
 
 use super::channel::ChannelLimits;
-use super::endpoints::{Endpoint, EndpointRegistry};
+use super::endpoints::EndpointRegistry;
 use super::routing::{DesiredWeights, RouteTable};
 use super::routing_snapshot::RoutingSnapshot;
 use super::slow_start::EndpointWeight;
@@ -56,11 +56,11 @@
 }
 
 impl ChangeContext<'_> {
-    /// The urgency of a removal: the drain grace of an endpoint that stopped being ready is running, and a
-    /// cold one may be overloaded.
+    /// The urgency of a removal: the drain grace of the endpoint is running, the endpoint was removed from the
+    /// list, or it is cold and may be overloaded.
     fn removal_urgency(&self, id: &EndpointId, is_held_back: bool) -> Urgency {
-        match self.endpoints.get(id).and_then(Endpoint::unready_since) {
-            Some(since) => Urgency::within_grace(since, self.config),
+        match self.endpoints.get(id).filter(|endpoint| !endpoint.is_ready()) {
+            Some(unready) => Urgency::of_unready(unready, self.config),
             None if is_held_back || self.snapshot.excludes(id) => Urgency::Prompt,
             None => Urgency::Ordinary,
         }
--- a/src/controller/ejection.rs
+++ b/src/controller/ejection.rs
@@ -9,9 +9,11 @@
 //! makes them unnecessary.
 
 use super::channel::ChannelLimits;
+use super::endpoints::Endpoint;
 use super::proxies::Proxy;
 use super::urgency::Urgency;
 use super::Controller;
+use crate::config::ControllerConfig;
 use crate::host::{EndpointId, Host};
 use crate::time::Moment;
 use std::collections::BTreeSet;
@@ -22,6 +24,29 @@
 /// the endpoints in a stale table are random.
 const STALE_LINES_MARGIN: f64 = 1.5;
 
+/// An ejection that is due. The most urgent one comes first, then the one of the endpoint that stopped being
+/// ready first.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct DueEjection {
+    urgency: Urgency,
+    last_ready: Moment,
+    id: EndpointId,
+    due_since: Moment,
+}
+
+impl DueEjection {
+    fn new(id: &EndpointId, endpoint: &Endpoint, config: &ControllerConfig) -> Self {
+        // At a proxy that joined after the endpoint stopped being ready, the drain grace counts from the join.
+        let grace_since = endpoint.grace_since(config).map(|since| since.max(endpoint.ejection_due_since));
+        DueEjection {
+            urgency: grace_since.map_or(Urgency::Prompt, |since| Urgency::within_grace(since, config)),
+            last_ready: endpoint.last_ready,
+            id: id.clone(),
+            due_since: endpoint.ejection_due_since,
+        }
+    }
+}
+
 /// The cost of ejections at one proxy with a stale table, in lines.
 struct StaleProxyCost {
     proxy: u32,
@@ -39,9 +64,9 @@
         limits: &ChannelLimits,
         is_queue_short: bool,
     ) -> bool {
-        let to_eject = self.endpoints_to_eject();
+        let to_eject = self.due_ejections();
         let total_cost = self.ejection_cost(to_eject.len(), limits);
-        let due_since = self.ejections_due_since(&to_eject).unwrap_or(now);
+        let due_since = to_eject.iter().map(|ejection| ejection.due_since).min().unwrap_or(now);
         let collection_time = (self.config.drain_grace - self.config.max_transit) * COLLECTION_GRACE_FRACTION;
         // On a busy channel, ejecting the few endpoints of each event separately would cost a message to
         // every unassigned proxy each time.
@@ -51,39 +76,37 @@
             return false;
         }
         let unassigned = self.proxies.matching(|proxy| !proxy.is_assigned());
-        let urgency = Urgency::within_grace(due_since, &self.config);
+        let urgency = to_eject.first().map_or(Urgency::Ordinary, |ejection| ejection.urgency);
         let available = self.channel.available_lines(now, urgency, &unassigned, limits);
         let cost = |count| self.ejection_cost(count, limits);
         let count = if is_queue_short { limits.largest_batch(to_eject.len(), available, cost) } else { 0 };
-        for id in &to_eject[..count] {
+        for DueEjection { id, urgency, .. } in &to_eject[..count] {
             let endpoint = self.endpoints.get_mut(id).expect("endpoints to eject are registered");
             endpoint.mark_ejected();
-            self.delivery.record_issued(urgency);
+            self.delivery.record_issued(*urgency);
             self.host.eject_endpoint(id, urgency.deadline());
         }
         self.record_ejections(now, count, limits);
         count < to_eject.len()
     }
 
-    /// Since when the earliest of these ejections has been due; `None` if there is none.
-    fn ejections_due_since(&self, to_eject: &[EndpointId]) -> Option<Moment> {
-        let endpoints = to_eject.iter().filter_map(|id| self.endpoints.get(id));
-        endpoints.map(|endpoint| endpoint.ejection_due_since).min()
-    }
-
-    /// The endpoints that are no longer ready, are in no table and may still be used by proxies with stale
-    /// tables, in the order in which they stopped being ready.
-    fn endpoints_to_eject(&self) -> Vec<EndpointId> {
+    /// The ejections of the endpoints that are no longer ready, are in no table and may still be used by
+    /// proxies with stale tables, the most urgent first. While earlier commands are not accepted, only those
+    /// with a deadline.
+    fn due_ejections(&self) -> Vec<DueEjection> {
         let tables = self.tables.by_number.values();
         let in_tables: BTreeSet<&EndpointId> = tables.flat_map(|table| table.weights.keys()).collect();
-        let mut to_eject = Vec::new();
+        let mut due = Vec::new();
         for (id, endpoint) in self.endpoints.iter() {
             if endpoint.needs_ejection() && !in_tables.contains(id) {
-                to_eject.push((endpoint.last_ready, id.clone()));
+                due.push(DueEjection::new(id, endpoint, &self.config));
             }
         }
-        to_eject.sort();
-        to_eject.into_iter().map(|(_, id)| id).collect()
+        if self.delivery.is_resend_pending {
+            due.retain(|ejection| ejection.urgency.deadline().is_some());
+        }
+        due.sort();
+        due
     }
 
     /// The estimated cost of a number of ejections or restorations at each unassigned proxy. An initial table
--- a/src/controller/retention.rs
+++ b/src/controller/retention.rs
@@ -12,7 +12,7 @@
 
 use super::assignment::ASSIGNMENT_RETRY_INTERVAL;
 use super::channel::ChannelLimits;
-use super::endpoints::{Endpoint, EndpointRegistry};
+use super::endpoints::EndpointRegistry;
 use super::routing::{DesiredWeights, RouteTable};
 use super::urgency::{time_to_send, Urgency};
 use super::Controller;
@@ -69,7 +69,7 @@
         if endpoint.has_stopped_answering(self.config.report_interval) {
             return false;
         }
-        let deadline = removal_deadline(endpoint, self.config);
+        let deadline = Urgency::of_unready(endpoint, self.config).deadline();
         match (deadline, self.lead_time) {
             (None, _) => true,
             (Some(deadline), Some(lead_time)) => self.now + lead_time < deadline,
@@ -78,12 +78,6 @@
     }
 }
 
-/// When the removal of an endpoint must have been sent, if the drain grace applies to the endpoint.
-fn removal_deadline(endpoint: &Endpoint, config: &ControllerConfig) -> Option<Moment> {
-    let since = endpoint.grace_since(config)?;
-    Urgency::within_grace(since, config).deadline()
-}
-
 impl<H: Host> Controller<H> {
     /// Determines the weights that each table retains, and records them in its desired weights.
     pub(super) fn retain_weights(
--- a/src/controller/retention/tests.rs
+++ b/src/controller/retention/tests.rs
@@ -128,6 +128,24 @@
     assert_eq!((controller.host.weight(0, "b"), controller.host.weight(0, "c")), (None, None));
 }
 
+/// Guards against a removal that no grace limits, and that therefore counts as overdue, taking the last message
+/// that a proxy may be sent: the next drain would wait until the window of the limit has passed.
+#[test]
+fn an_endpoint_that_was_only_dropped_leaves_the_messages_to_one_that_drains() {
+    let controller = running_controller(only_draining_binds(), &["a", "b", "c"], 1);
+    let mut timeline = Timeline::new(controller, at(0.3));
+    for message in 0..10 {
+        timeline.run_until(0.4 + 0.05 * f64::from(message));
+        timeline.step(|controller, now| controller.channel.backlog.record(now, 0, 1.0, 3.0));
+    }
+    timeline.run_until(1.0);
+    timeline.step(|controller, now| controller.endpoints_updated(now, &[removed("a")]));
+    timeline.run_until(2.5);
+    timeline.step(|controller, now| controller.endpoints_updated(now, &[draining("b")]));
+    timeline.run_until(22.0);
+    assert!(removed_at(&timeline, "b") - at(2.5) <= TIME_TO_SEND, "{:?}", removed_at(&timeline, "b"));
+}
+
 #[test]
 fn a_table_whose_endpoints_disappeared_and_do_not_answer_is_emptied() {
     let mut controller = running_controller(config(), &["a"], 1);
--- a/src/controller/sharding.rs
+++ b/src/controller/sharding.rs
@@ -86,9 +86,8 @@
             }
             endpoint.ejected = should_be_ejected;
             if should_be_ejected {
-                let due_since = endpoint.unready_since();
-                let urgency = due_since.map(|since| Urgency::within_grace(since, &self.config));
-                self.host.eject_endpoint(id, urgency.and_then(Urgency::deadline));
+                let urgency = Urgency::of_unready(endpoint, &self.config);
+                self.host.eject_endpoint(id, urgency.deadline());
             } else {
                 self.host.restore_endpoint(id);
             }
--- a/src/controller/urgency.rs
+++ b/src/controller/urgency.rs
@@ -3,6 +3,7 @@
 //! Every weight change and ejection carries its own [`Urgency`]. `changes` and `ejection` determine it, and
 //! `urgent_batch`, `channel` and `push_limit` decide by it what goes first and what has to wait.
 
+use super::endpoints::Endpoint;
 use crate::config::ControllerConfig;
 use crate::time::{Moment, Span};
 
@@ -23,6 +24,16 @@
         Urgency::Deadline(since + time_to_send(config))
     }
 
+    /// The urgency of removing or ejecting an endpoint that is not ready: it has a deadline only if the drain
+    /// grace applies to the endpoint. Without one it must not use up the messages that those with a deadline
+    /// need.
+    pub(super) fn of_unready(endpoint: &Endpoint, config: &ControllerConfig) -> Self {
+        match endpoint.grace_since(config) {
+            Some(since) => Urgency::within_grace(since, config),
+            None => Urgency::Prompt,
+        }
+    }
+
     /// When the command must have been sent, if it has a deadline.
     pub(super) fn deadline(self) -> Option<Moment> {
         match self {
