A drain grace runs on when the controller is restarted

What callers saw: after a restart of the controller in a running process, an endpoint that was draining before gets the whole grace anew; where only draining binds and it was dropped since, its ejection has no deadline, so it waits while a call fails.

Cause: the observed fleet, from which a new controller starts, kept the latest entry of each endpoint without times, so an endpoint that drained and was dropped looked like one that was only dropped.

Change: ListedState is what the list says of an endpoint and since when. The endpoint registry and the observed fleet both use it, and a new controller gets it for the endpoints that are not ready before its first event. The fields that tests set moved into it; no assertion changed.

--- a/control-plane/src/controller_restart.rs
+++ b/control-plane/src/controller_restart.rs
@@ -62,12 +62,13 @@
     ///
     /// The first event that the new controller handles lists the removed and ejected endpoints. The relay may
     /// still hold commands of the old controller about them, so the new one must remove them from the tables
-    /// or restore them.
+    /// or restore them. Drain graces that are running go on: the new controller gets their beginnings first.
     pub fn restart(&mut self, now: Moment) {
         error!(self.log, "controller restarted");
         let mut host = self.take_host(now);
         host.discard_pending();
         self.starts += 1;
+        let unready = host.fleet().unready_endpoints();
         let removed = host.fleet().removed_or_ejected();
         let listed = host.fleet().listed_endpoints();
         let proxies = host.fleet().proxies().clone();
@@ -75,6 +76,7 @@
         self.controller = Controller::start(host, self.config.controller.clone(), seed, now);
         let controller = &mut self.controller;
         let replayed = catch_panic(|| {
+            controller.restore_unready_endpoints(unready.iter().map(|(id, listed)| (id, *listed)));
             controller.endpoints_updated(now, &removed);
             controller.endpoint_list_replaced(now, &listed);
             for (number, proxy) in proxies {
--- a/control-plane/src/observed_fleet.rs
+++ b/control-plane/src/observed_fleet.rs
@@ -2,6 +2,8 @@
 //! endpoints and the joined proxies. A restarted controller is initialized from it.
 
 use otterwinch::host::{EndpointId, EndpointState, EndpointUpdate};
+use otterwinch::listed_state::ListedState;
+use otterwinch::time::Moment;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A proxy that has joined the relay.
@@ -13,11 +15,26 @@
     pub rate: f64,
 }
 
+/// An endpoint that was listed at least once.
+struct ObservedEndpoint {
+    /// Its latest entry; the state of one that a whole list did not contain is `Removed`.
+    entry: EndpointUpdate,
+    /// Its state, and since when.
+    listed: ListedState,
+}
+
+impl ObservedEndpoint {
+    fn update(&mut self, now: Moment, state: EndpointState) {
+        self.entry.state = state;
+        self.listed.update(now, state);
+    }
+}
+
 /// The known endpoints and proxies.
 #[derive(Default)]
 pub struct ObservedFleet {
     /// Every endpoint that was ever listed and has not been forgotten since, with its last known state.
-    endpoints: BTreeMap<EndpointId, EndpointUpdate>,
+    endpoints: BTreeMap<EndpointId, ObservedEndpoint>,
     /// Endpoints that the controller has ejected, so that no joined proxy uses them.
     ejected: BTreeSet<EndpointId>,
     proxies: BTreeMap<u32, JoinedProxy>,
@@ -25,17 +42,22 @@
 
 impl ObservedFleet {
     /// Replaces the complete endpoint list. Known endpoints that it does not contain are marked as removed.
-    pub fn replace_endpoint_list(&mut self, updates: &[EndpointUpdate]) {
+    pub fn replace_endpoint_list(&mut self, now: Moment, updates: &[EndpointUpdate]) {
         for endpoint in self.endpoints.values_mut() {
-            endpoint.state = EndpointState::Removed;
+            endpoint.update(now, EndpointState::Removed);
         }
-        self.update_endpoints(updates);
+        self.update_endpoints(now, updates);
     }
 
     /// Applies changed entries of the endpoint list.
-    pub fn update_endpoints(&mut self, updates: &[EndpointUpdate]) {
+    pub fn update_endpoints(&mut self, now: Moment, updates: &[EndpointUpdate]) {
         for update in updates {
-            self.endpoints.insert(update.id.clone(), update.clone());
+            let endpoint = self.endpoints.entry(update.id.clone()).or_insert_with(|| ObservedEndpoint {
+                entry: update.clone(),
+                listed: ListedState::first_seen(now, update.state),
+            });
+            endpoint.entry = update.clone();
+            endpoint.update(now, update.state);
         }
     }
 
@@ -46,31 +68,40 @@
 
     /// The last listed entries of those of the endpoints `ids` that are listed.
     pub fn last_listed(&self, ids: &[EndpointId]) -> Vec<EndpointUpdate> {
-        ids.iter()
-            .filter_map(|id| self.endpoints.get(id))
-            .filter(|endpoint| is_listed(endpoint))
-            .cloned()
-            .collect()
+        let known = ids.iter().filter_map(|id| self.endpoints.get(id));
+        known.filter(|endpoint| endpoint.listed.is_listed()).map(|endpoint| endpoint.entry.clone()).collect()
     }
 
     /// All listed endpoints.
     pub fn listed_endpoints(&self) -> Vec<EndpointUpdate> {
-        self.endpoints.values().filter(|endpoint| is_listed(endpoint)).cloned().collect()
+        self.listed().map(|endpoint| endpoint.entry.clone()).collect()
     }
 
     /// The number of listed endpoints.
     pub fn listed_count(&self) -> usize {
-        self.endpoints.values().filter(|endpoint| is_listed(endpoint)).count()
+        self.listed().count()
+    }
+
+    fn listed(&self) -> impl Iterator<Item = &ObservedEndpoint> {
+        self.endpoints.values().filter(|endpoint| endpoint.listed.is_listed())
+    }
+
+    /// The known endpoints that are not ready, and since when.
+    pub fn unready_endpoints(&self) -> Vec<(EndpointId, ListedState)> {
+        let unready = self.endpoints.iter().filter(|(_, endpoint)| !endpoint.listed.is_ready());
+        unready.map(|(id, endpoint)| (id.clone(), endpoint.listed)).collect()
     }
 
     /// The removed and the ejected endpoints, all with the state `Removed`. The relay's tables may still
     /// contain them.
     pub fn removed_or_ejected(&self) -> Vec<EndpointUpdate> {
-        let affected =
-            |endpoint: &&EndpointUpdate| !is_listed(endpoint) || self.ejected.contains(&endpoint.id);
+        let affected = self
+            .endpoints
+            .iter()
+            .filter(|(id, endpoint)| !endpoint.listed.is_listed() || self.ejected.contains(*id));
         let as_removed =
-            |endpoint: &EndpointUpdate| EndpointUpdate { state: EndpointState::Removed, ..endpoint.clone() };
-        self.endpoints.values().filter(affected).map(as_removed).collect()
+            |entry: &EndpointUpdate| EndpointUpdate { state: EndpointState::Removed, ..entry.clone() };
+        affected.map(|(_, endpoint)| as_removed(&endpoint.entry)).collect()
     }
 
     /// Records that the controller has ejected an endpoint.
@@ -104,7 +135,3 @@
         &self.proxies
     }
 }
-
-fn is_listed(endpoint: &EndpointUpdate) -> bool {
-    endpoint.state != EndpointState::Removed
-}
--- a/control-plane/src/relay_host.rs
+++ b/control-plane/src/relay_host.rs
@@ -58,13 +58,13 @@
     /// Replaces the complete endpoint list.
     pub fn replace_endpoint_list(&mut self, updates: &[EndpointUpdate]) {
         self.validator.add_endpoints(updates.iter().map(|update| &update.id));
-        self.fleet.replace_endpoint_list(updates);
+        self.fleet.replace_endpoint_list(self.now, updates);
     }
 
     /// Applies changed entries of the endpoint list.
     pub fn update_endpoints(&mut self, updates: &[EndpointUpdate]) {
         self.validator.add_endpoints(updates.iter().map(|update| &update.id));
-        self.fleet.update_endpoints(updates);
+        self.fleet.update_endpoints(self.now, updates);
     }
 
     /// Records that a proxy joined.
--- a/src/controller/assignment/tests.rs
+++ b/src/controller/assignment/tests.rs
@@ -44,7 +44,7 @@
 #[test]
 fn assignments_take_priority_over_changes_once_many_endpoints_are_unready() {
     let mut controller = running_controller(config(), &["a", "b", "c"], 1);
-    controller.endpoints.get_mut("a").unwrap().state = EndpointState::Removed;
+    controller.endpoints.get_mut("a").unwrap().listed.state = EndpointState::Removed;
     controller.tables.by_number.get_mut(&0).unwrap().weights.remove("a");
     controller.endpoints.get_mut("c").unwrap().weight = 4.0;
     controller.proxy_joined(at(2.0), 4, 0, 90.0, true);
--- a/src/controller/ejection.rs
+++ b/src/controller/ejection.rs
@@ -40,7 +40,7 @@
         let grace_since = endpoint.grace_since(config).map(|since| since.max(endpoint.ejection_due_since));
         DueEjection {
             urgency: grace_since.map_or(Urgency::Prompt, |since| Urgency::within_grace(since, config)),
-            last_ready: endpoint.last_ready,
+            last_ready: endpoint.listed.last_ready(),
             id: id.clone(),
             due_since: endpoint.ejection_due_since,
         }
--- a/src/controller/ejection/tests.rs
+++ b/src/controller/ejection/tests.rs
@@ -9,7 +9,7 @@
 fn a_joined_proxy_that_stays_unassigned_gets_all_ejections() {
     let mut controller = running_controller(config(), &["a"], 0);
     let endpoint = controller.endpoints.get_mut("a").unwrap();
-    endpoint.state = EndpointState::Removed;
+    endpoint.listed.state = EndpointState::Removed;
     endpoint.ejected = true;
     controller.proxy_joined(at(1.0), 4, 0, 10.0, false);
     controller.issue_commands(at(1.05));
--- a/src/controller/endpoints.rs
+++ b/src/controller/endpoints.rs
@@ -9,6 +9,7 @@
 use crate::config::ControllerConfig;
 use crate::histogram::Histogram;
 use crate::host::{EndpointId, EndpointState, EndpointUpdate};
+use crate::listed_state::ListedState;
 use crate::seeded_rng::SeededRng;
 use crate::time::{Moment, Span};
 use std::collections::{BTreeMap, BTreeSet};
@@ -32,7 +33,8 @@
 pub(super) struct Endpoint {
     pub(super) zone: u32,
     pub(super) weight: f64,
-    pub(super) state: EndpointState,
+    /// What the endpoint list says of it, and since when.
+    pub(super) listed: ListedState,
     /// When it last started; `None` if that was long ago.
     pub(super) started: Option<Moment>,
     /// When the endpoint list first stated that start.
@@ -41,11 +43,6 @@
     pub(super) last_answered: Option<Moment>,
     /// When a load report last covered attempts of which it answered none.
     pub(super) last_unanswered: Option<Moment>,
-    /// When it was last known to be ready; its first appearance if it never was.
-    pub(super) last_ready: Moment,
-    /// When it was first listed as draining since it was last ready, if it was: also if it has been removed
-    /// from the list since.
-    pub(super) draining_since: Option<Moment>,
     /// Whether it stopped being ready and was ejected from the proxies that were joined at the time.
     pub(super) ejected: bool,
     /// Whether the ejection was sent to all proxies with stale tables; false again once another proxy joins.
@@ -84,22 +81,18 @@
 impl Endpoint {
     /// Whether the endpoint list names it as ready.
     pub(super) fn is_ready(&self) -> bool {
-        self.state == EndpointState::Ready
-    }
-
-    /// When it stopped being ready; `None` if it is ready. The drain grace counts from then.
-    pub(super) fn unready_since(&self) -> Option<Moment> {
-        (!self.is_ready()).then_some(self.last_ready)
+        self.listed.is_ready()
     }
 
     /// Since when its drain grace has been running; `None` if it is ready, or if it was only removed from the
     /// list and the grace does not apply to that.
     pub(super) fn grace_since(&self, config: &ControllerConfig) -> Option<Moment> {
-        let unready_since = self.unready_since()?;
-        if config.drain_grace_excludes_removed {
-            self.draining_since
+        if self.is_ready() {
+            None
+        } else if config.drain_grace_excludes_removed {
+            self.listed.draining_since()
         } else {
-            Some(unready_since)
+            Some(self.listed.last_ready())
         }
     }
 
@@ -113,15 +106,9 @@
     /// Applies a state from the endpoint list.
     pub(super) fn set_state(&mut self, now: Moment, state: EndpointState) {
         if self.is_ready() {
-            self.last_ready = now;
             self.ejection_due_since = now;
         }
-        match state {
-            EndpointState::Ready => self.draining_since = None,
-            EndpointState::Draining => self.draining_since = self.draining_since.or(Some(now)),
-            EndpointState::Removed => {}
-        }
-        self.state = state;
+        self.listed.update(now, state);
     }
 
     /// Whether proxies with stale tables may still use it although it is no longer ready.
@@ -169,7 +156,7 @@
     pub(super) fn apply_updates(&mut self, now: Moment, updates: &[EndpointUpdate]) {
         for update in updates {
             let endpoint = self.by_id.entry(update.id.clone()).or_insert_with(|| Endpoint {
-                last_ready: now,
+                listed: ListedState::first_seen(now, EndpointState::Removed),
                 ejection_due_since: now,
                 ..Endpoint::default()
             });
@@ -178,6 +165,12 @@
         self.ready_weight.record(self.ready_weight());
     }
 
+    /// Adds an endpoint that is not ready, with the times that a former controller knew.
+    pub(super) fn restore(&mut self, id: &EndpointId, listed: ListedState) {
+        let endpoint = Endpoint { listed, ejection_due_since: listed.last_ready(), ..Endpoint::default() };
+        self.by_id.insert(id.clone(), endpoint);
+    }
+
     /// Marks endpoints that are missing from a complete list as removed.
     pub(super) fn remove_unlisted(&mut self, now: Moment, complete_list: &[EndpointUpdate]) {
         let listed: BTreeSet<&EndpointId> = complete_list.iter().map(|update| &update.id).collect();
@@ -277,7 +270,7 @@
         in_use: impl Fn(&EndpointId) -> bool,
     ) -> Vec<(EndpointId, Endpoint)> {
         let is_expired = |endpoint: &Endpoint| {
-            endpoint.state == EndpointState::Removed && now - endpoint.last_ready > REMOVED_RETENTION
+            !endpoint.listed.is_listed() && now - endpoint.listed.last_ready() > REMOVED_RETENTION
         };
         let expired = self.by_id.iter().filter(|(id, endpoint)| is_expired(endpoint) && !in_use(id));
         let expired: Vec<EndpointId> = expired.map(|(id, _)| id.clone()).collect();
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -65,6 +65,7 @@
 
 use crate::config::ControllerConfig;
 use crate::host::{EndpointId, EndpointUpdate, Host, Timer};
+use crate::listed_state::ListedState;
 use crate::seeded_rng::SeededRng;
 use crate::time::{Moment, Span};
 use admission::Admission;
@@ -135,6 +136,17 @@
         &mut self.host
     }
 
+    /// Takes over endpoints that are not ready from a former controller, before any other event. Their drain
+    /// graces have been running since the times in `listed`.
+    pub fn restore_unready_endpoints<'a>(
+        &mut self,
+        endpoints: impl IntoIterator<Item = (&'a EndpointId, ListedState)>,
+    ) {
+        for (id, listed) in endpoints {
+            self.endpoints.restore(id, listed);
+        }
+    }
+
     /// Handles a complete endpoint list: known endpoints that are missing from it count as removed.
     pub fn endpoint_list_replaced(&mut self, now: Moment, complete_list: &[EndpointUpdate]) {
         self.endpoints.remove_unlisted(now, complete_list);
--- a/src/controller/publication/tests.rs
+++ b/src/controller/publication/tests.rs
@@ -56,7 +56,7 @@
 fn a_returning_endpoint_is_restored_with_its_weight() {
     let mut controller = running_controller(config(), &["a", "b"], 1);
     let returning = controller.endpoints.get_mut("a").unwrap();
-    returning.state = EndpointState::Removed;
+    returning.listed.state = EndpointState::Removed;
     returning.ejected = true;
     controller.tables.by_number.get_mut(&0).unwrap().weights.remove("a");
     controller.endpoints_updated(at(40.0), &[ready_since("a", 10.0)]);
@@ -67,8 +67,8 @@
 fn the_endpoint_that_stopped_being_ready_first_is_removed_first() {
     let mut controller = running_large_fleet(3.0, 60);
     for (k, (_, endpoint)) in controller.endpoints.iter_mut().enumerate() {
-        endpoint.state = EndpointState::Draining;
-        endpoint.last_ready = at(9.0 - k as f64 / 100.0);
+        endpoint.listed.state = EndpointState::Draining;
+        endpoint.listed.last_ready = at(9.0 - k as f64 / 100.0);
     }
     controller.issue_commands(at(60.0));
     assert_eq!(controller.host.weight(0, "59"), Some(0.0));
@@ -93,7 +93,7 @@
 fn urgent_changes_that_exceed_the_queue_are_sent_in_batches() {
     let mut controller = running_large_fleet(10.0, 90);
     for (_, endpoint) in controller.endpoints.iter_mut().skip(1) {
-        endpoint.state = EndpointState::Draining;
+        endpoint.listed.state = EndpointState::Draining;
     }
     controller.issue_commands(at(90.0));
     assert!((8..79).contains(&controller.host.weight_count()));
@@ -103,7 +103,7 @@
 fn nothing_else_is_sent_while_urgent_changes_are_deferred() {
     let mut controller = running_large_fleet(3.0, 70);
     for (_, endpoint) in controller.endpoints.iter_mut() {
-        endpoint.state = EndpointState::Draining;
+        endpoint.listed.state = EndpointState::Draining;
     }
     controller.admission.levels[0] = 0.5;
     controller.proxy_joined(at(59.0), 99, 0, 10.0, true);
--- a/src/controller/retention.rs
+++ b/src/controller/retention.rs
@@ -17,7 +17,7 @@
 use super::urgency::{time_to_send, Urgency};
 use super::Controller;
 use crate::config::ControllerConfig;
-use crate::host::{EndpointId, EndpointState, Host};
+use crate::host::{EndpointId, Host};
 use crate::time::{Moment, Span};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -56,7 +56,7 @@
     /// Whether an endpoint was removed from the list although it answered recently.
     fn answers_unlisted(&self, id: &str) -> bool {
         self.endpoints.get(id).is_some_and(|endpoint| {
-            endpoint.state == EndpointState::Removed
+            !endpoint.listed.is_listed()
                 && endpoint.last_answered.is_some_and(|at| self.now - at < MAX_RETENTION_TIME)
         })
     }
--- a/src/controller/retention/tests.rs
+++ b/src/controller/retention/tests.rs
@@ -166,7 +166,7 @@
     let mut controller = running_controller(config(), &["a"], 1);
     let endpoint = controller.endpoints.get_mut("a").unwrap();
     endpoint.last_answered = Some(at(1.5));
-    endpoint.state = EndpointState::Removed;
+    endpoint.listed.state = EndpointState::Removed;
     controller.tables.by_number.get_mut(&0).unwrap().retained_since = Some(at(2.0));
     controller.timer_fired(at(3.0), Timer::Recheck);
     assert!(controller.host.commands.contains(&eject("a")));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod controller;
 pub mod histogram;
 pub mod host;
+pub mod listed_state;
 pub mod seeded_rng;
 #[cfg(test)]
 mod test_support;
