An ejection is not lifted while a waiting proxy or a shard may use the endpoint

What callers saw: 60 s after an endpoint was last ready its ejection is lifted. A proxy that waits since then for a table (a class that keeps to a zone without endpoints) uses it again from the table that it brought, and so does whoever reads a shard that still names it.

Cause: an endpoint was kept only while one of the controller's route tables held it; waiting proxies and shards were not asked.

Change: it is also kept while a shard names it, or a proxy waits that joined between 60 s before the endpoint was first listed and 60 s after it was last ready. Only such a proxy can have brought it in a table, so what is kept stays bounded by the endpoints known around those joins.

--- a/src/controller/endpoints.rs
+++ b/src/controller/endpoints.rs
@@ -2,7 +2,7 @@
 //!
 //! [`Controller`](super::Controller) applies list updates to the registry; every other module reads endpoints
 //! from it. The registry guarantees that an endpoint whose listed weight is too small or not finite gets the
-//! minimum weight, and that no endpoint is forgotten while a route table holds it. It also determines the
+//! minimum weight, and that no endpoint is forgotten while proxies may still use it. It also determines the
 //! delay before a failed list watch is retried.
 
 use super::peak_weight::PeakWeight;
@@ -18,7 +18,8 @@
 const MIN_WEIGHT: f64 = 0.01;
 
 /// How long after it was last ready a removed endpoint is remembered: longer than any proxy stays
-/// disconnected while still using its tables, and longer than any drain grace.
+/// disconnected while still using its tables, and longer than any drain grace. It also covers the time by which
+/// other controllers may have seen an endpoint earlier than this one.
 const REMOVED_RETENTION: Span = Span::from_us(60_000_000);
 
 /// The mean delay before the list is watched again after repeated failures.
@@ -116,6 +117,12 @@
         !self.is_ready() && !self.ejected_everywhere
     }
 
+    /// Whether a proxy that joined at this time may have brought a table that holds it.
+    pub(super) fn may_be_in_table_brought_at(&self, joined: Moment) -> bool {
+        joined + REMOVED_RETENTION >= self.listed.first_listed()
+            && joined <= self.listed.last_ready() + REMOVED_RETENTION
+    }
+
     /// Records that it was ejected from all joined proxies.
     pub(super) fn mark_ejected(&mut self) {
         self.ejected = true;
@@ -267,12 +274,13 @@
     pub(super) fn forget_removed(
         &mut self,
         now: Moment,
-        in_use: impl Fn(&EndpointId) -> bool,
+        in_use: impl Fn(&EndpointId, &Endpoint) -> bool,
     ) -> Vec<(EndpointId, Endpoint)> {
         let is_expired = |endpoint: &Endpoint| {
             !endpoint.listed.is_listed() && now - endpoint.listed.last_ready() > REMOVED_RETENTION
         };
-        let expired = self.by_id.iter().filter(|(id, endpoint)| is_expired(endpoint) && !in_use(id));
+        let expired =
+            self.by_id.iter().filter(|(id, endpoint)| is_expired(endpoint) && !in_use(id, endpoint));
         let expired: Vec<EndpointId> = expired.map(|(id, _)| id.clone()).collect();
         expired.iter().filter_map(|id| self.by_id.remove_entry(id)).collect()
     }
--- a/src/controller/endpoints/tests.rs
+++ b/src/controller/endpoints/tests.rs
@@ -1,7 +1,7 @@
 use crate::config::ControllerConfig;
-use crate::host::Timer;
+use crate::host::{EndpointUpdate, Timer};
 use crate::test_support::{
-    at, config, eject, forget, ready, removed, restore, running_controller, schedule_timer,
+    at, config, draining, eject, forget, ready, removed, restore, running_controller, schedule_timer,
 };
 use crate::time::Span;
 
@@ -61,3 +61,23 @@
         assert_eq!(retries_at_once, at_once, "at {now}: {commands:?}");
     }
 }
+
+/// Guards against an ejection that is lifted 60 s after the endpoint was last ready, while a proxy still waits
+/// with the table that it brought, because its zone has no endpoint for a class that must not leave it.
+#[test]
+fn an_endpoint_is_not_forgotten_while_a_proxy_waits_that_may_have_it_in_its_former_table() {
+    let mut config = config();
+    config.request_classes[1].zone_local = true;
+    let elsewhere = EndpointUpdate { zone: 1, ..ready("b") };
+    let mut controller = running_controller(config, &["a", "b"], 0);
+    controller.endpoints_updated(at(1.0), &[elsewhere, draining("a")]);
+    controller.endpoints_updated(at(4.0), &[removed("a")]);
+    controller.proxy_joined(at(5.0), 7, 0, 10.0, false);
+    for evaluation in 0..60 {
+        controller.timer_fired(at(5.5 + f64::from(evaluation)), Timer::Evaluation);
+    }
+    assert!(!controller.host.commands.contains(&restore("a")));
+    controller.proxy_left(at(66.5), 7);
+    controller.timer_fired(at(67.0), Timer::Evaluation);
+    assert!(controller.host.commands.windows(2).any(|pair| pair == [restore("a"), forget("a")]));
+}
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -72,7 +72,7 @@
 use candidate::Candidate;
 use channel::{Channel, ChannelLimits};
 use delivery::DeliveryState;
-use endpoints::EndpointRegistry;
+use endpoints::{Endpoint, EndpointRegistry};
 use fleet_load::FleetLoad;
 use outliers::Outcomes;
 use proxies::ProxyRegistry;
@@ -297,12 +297,19 @@
 
     /// Forgets endpoints that were removed long ago and lifts their ejections, so that their ids can be used
     /// by new endpoints. If they were not forgotten, each joining proxy would be sent the ejections of all
-    /// endpoints that ever existed.
+    /// endpoints that ever existed. One that a table or a shard names is kept, and so is one that a waiting proxy
+    /// may have in the table that it brought: without the ejection the proxy would use it again.
     fn forget_removed_endpoints(&mut self, now: Moment) {
         if self.delivery.is_resend_pending {
             return;
         }
-        for (id, endpoint) in self.endpoints.forget_removed(now, |id| self.tables.any_contains(id)) {
+        let waiting_since = self.proxies.unassigned_since();
+        let in_use = |id: &EndpointId, endpoint: &Endpoint| {
+            self.tables.any_contains(id)
+                || self.shards.any_contains(id)
+                || waiting_since.iter().any(|joined| endpoint.may_be_in_table_brought_at(*joined))
+        };
+        for (id, endpoint) in self.endpoints.forget_removed(now, in_use) {
             if endpoint.ejected {
                 self.host.restore_endpoint(&id);
             }
--- a/src/controller/proxies.rs
+++ b/src/controller/proxies.rs
@@ -121,6 +121,12 @@
         self.joined.iter().filter(|(_, proxy)| predicate(proxy)).map(|(number, _)| *number).collect()
     }
 
+    /// Since when each proxy that is not assigned to all of its tables has been waiting for that.
+    pub(super) fn unassigned_since(&self) -> Vec<Moment> {
+        let unassigned = self.joined.values().filter(|proxy| !proxy.is_assigned());
+        unassigned.map(|proxy| proxy.waiting_since).collect()
+    }
+
     /// The proxies that changes of each table are assumed to reach, in ascending order.
     pub(super) fn receivers_by_table(&self) -> BTreeMap<u32, Vec<u32>> {
         let mut receivers = BTreeMap::<u32, Vec<u32>>::new();
--- a/src/controller/sharding.rs
+++ b/src/controller/sharding.rs
@@ -42,6 +42,11 @@
         self.by_number.entry(shard).or_default().weights.insert(id.clone(), weight);
     }
 
+    /// Whether any shard names an endpoint.
+    pub(super) fn any_contains(&self, id: &EndpointId) -> bool {
+        self.by_number.values().any(|shard| shard.weights.contains_key(id))
+    }
+
     /// Removes a shard that this controller no longer publishes.
     pub(super) fn revoke(&mut self, shard: u32) {
         self.by_number.remove(&shard);
--- a/src/controller/sharding/tests.rs
+++ b/src/controller/sharding/tests.rs
@@ -1,5 +1,5 @@
 use crate::config::ControllerConfig;
-use crate::host::{RequestClassSet, RetryPolicy};
+use crate::host::{RequestClassSet, RetryPolicy, Timer};
 use crate::test_support::{at, config, draining, eject, removed, running_controller, set_weight, Command};
 
 #[test]
@@ -25,3 +25,16 @@
         Command::SetAdmission { table: 1, classes: writes, admitted: 0.0, retry: RetryPolicy::Never };
     assert_eq!(controller.host.commands, [eject("a"), stop_writes]);
 }
+
+/// Guards against ejections that are lifted 60 s after an endpoint was last ready, while a shard still names
+/// it because no other endpoint can take over.
+#[test]
+fn an_endpoint_that_a_shard_names_is_not_forgotten() {
+    let mut controller = running_controller(ControllerConfig { shards: 2, ..config() }, &["a"], 0);
+    controller.shard_assigned(1);
+    controller.shard_weight_restored(1, &"a".into(), 1.0);
+    controller.endpoints_updated(at(2.0), &[draining("a")]);
+    controller.endpoints_updated(at(3.0), &[removed("a")]);
+    controller.timer_fired(at(63.0), Timer::Evaluation);
+    assert_eq!(controller.host.ejections(), [eject("a")]);
+}
--- a/src/listed_state.rs
+++ b/src/listed_state.rs
@@ -15,6 +15,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ListedState {
     pub(crate) state: EndpointState,
+    first_listed: Moment,
     pub(crate) last_ready: Moment,
     draining_since: Option<Moment>,
 }
@@ -22,7 +23,7 @@
 impl ListedState {
     /// The state of an endpoint that the list names for the first time.
     pub fn first_seen(now: Moment, state: EndpointState) -> Self {
-        let mut listed = ListedState { last_ready: now, ..ListedState::default() };
+        let mut listed = ListedState { first_listed: now, last_ready: now, ..ListedState::default() };
         listed.update(now, state);
         listed
     }
@@ -55,6 +56,11 @@
         self.state != EndpointState::Removed
     }
 
+    /// When the list first named it.
+    pub fn first_listed(&self) -> Moment {
+        self.first_listed
+    }
+
     /// When it was last known to be ready; its first appearance if it never was.
     pub fn last_ready(&self) -> Moment {
         self.last_ready
