A weight reduced long after a start leaves the messages to a drain

What callers saw: with a limit on messages, a drain carried out 4.25 s after it was told (1.7 s allowed), when a degraded fleet had just reduced the weights of its cold endpoints.

Change: the change has a deadline only while the grace that counts from the listed start is running; after that it is prompt.

Measured: the new test fails before (removed at 10.25 s, 7.7 s allowed) and passes after.

--- a/src/controller/changes.rs
+++ b/src/controller/changes.rs
@@ -9,13 +9,14 @@
 //! other endpoints, can wait.
 
 use super::channel::ChannelLimits;
-use super::endpoints::EndpointRegistry;
+use super::endpoints::{Endpoint, EndpointRegistry};
 use super::routing::{DesiredWeights, RouteTable};
 use super::routing_snapshot::RoutingSnapshot;
 use super::slow_start::EndpointWeight;
 use super::urgency::Urgency;
 use crate::config::ControllerConfig;
 use crate::host::EndpointId;
+use crate::time::Moment;
 
 /// A weight change of an endpoint that is warming up is sent only if the old and the new weight differ by
 /// more than this factor.
@@ -53,6 +54,7 @@
     pub(super) endpoints: &'a EndpointRegistry,
     pub(super) snapshot: &'a RoutingSnapshot,
     pub(super) config: &'a ControllerConfig,
+    pub(super) now: Moment,
 }
 
 impl ChangeContext<'_> {
@@ -76,13 +78,20 @@
         desired: &EndpointWeight,
         lacks_warm: bool,
     ) -> Urgency {
-        let has_restarted = !desired.is_warm && published > RESTART_RATIO * desired.weight;
+        let is_overloaded = !desired.is_warm && published > RESTART_RATIO * desired.weight;
         match self.endpoints.get(id) {
-            Some(endpoint) if has_restarted => Urgency::within_grace(endpoint.start_listed, self.config),
-            _ if lacks_warm && published == 0.0 => Urgency::Prompt,
+            Some(endpoint) if is_overloaded && self.is_new_start(endpoint) => {
+                Urgency::within_grace(endpoint.start_listed, self.config)
+            }
+            _ if is_overloaded || lacks_warm && published == 0.0 => Urgency::Prompt,
             _ => Urgency::Ordinary,
         }
     }
+
+    /// Whether the drain grace that counts from the latest start of an endpoint is running.
+    fn is_new_start(&self, endpoint: &Endpoint) -> bool {
+        self.now - endpoint.start_listed <= self.config.drain_grace
+    }
 }
 
 /// The changes from the published to the desired weights that are worth sending to this number of receivers.
--- a/src/controller/changes/tests.rs
+++ b/src/controller/changes/tests.rs
@@ -1,6 +1,8 @@
 use crate::config::ControllerConfig;
+use crate::controller::test_support::Timeline;
 use crate::host::EndpointUpdate;
-use crate::test_support::{at, config, ready, ready_since, running_controller, set_weight};
+use crate::test_support::{at, config, draining, ready, ready_since, running_controller, set_weight};
+use crate::time::Span;
 
 #[test]
 fn only_weights_that_differ_are_sent() {
@@ -26,3 +28,24 @@
     controller.endpoints_updated(at(1.1), &[ready_since("a", 1.0)]);
     assert!(controller.host.weight(0, "a").unwrap() < 0.3);
 }
+
+/// Guards against a reduced weight that counts as overdue because its endpoint started long ago, and takes the last
+/// message that a proxy may be sent: a drain would wait until the window of the limit has passed.
+#[test]
+fn a_weight_that_is_reduced_long_after_a_start_leaves_the_messages_to_a_drain() {
+    let mut controller = running_controller(config(), &["a", "b"], 1);
+    controller.endpoints_updated(at(0.3), &[ready_since("c", 0.2)]);
+    let mut timeline = Timeline::new(controller, at(0.3));
+    for message in 0..7 {
+        timeline.run_until(4.0 + 0.05 * f64::from(message));
+        timeline.step(|controller, now| controller.channel.backlog.record(now, 0, 1.0, 3.0));
+    }
+    timeline.step(|controller, now| {
+        controller.outcomes_reported(now, "a", 100.0, 95.0, Span::from_secs(0.1), Span::from_secs(1.0));
+    });
+    timeline.run_until(6.0);
+    timeline.step(|controller, now| controller.endpoints_updated(now, &[draining("b")]));
+    timeline.run_until(22.0);
+    let removed = timeline.last_issued(|command| *command == set_weight(0, "b", 0.0)).expect("b is removed");
+    assert!(removed <= at(7.7), "{removed:?}");
+}
--- a/src/controller/publication.rs
+++ b/src/controller/publication.rs
@@ -133,7 +133,8 @@
         let receivers_by_table = self.proxies.receivers_by_table();
         let mut desired_by_table = self.desired_weights(&snapshot);
         self.retain_weights(now, limits, &mut desired_by_table, &receivers_by_table);
-        let context = ChangeContext { endpoints: &self.endpoints, snapshot: &snapshot, config: &self.config };
+        let context =
+            ChangeContext { endpoints: &self.endpoints, snapshot: &snapshot, config: &self.config, now };
         let mut all = Vec::new();
         for (number, desired) in desired_by_table {
             let table = &self.tables.by_number[&number];
