A retained weight is put off only if the limit sustains the message later

Cause: retention put a removal off as long as a proxy had two messages left.

Change: PushLimit::allows_putting_off asks whether the limit sustains a message now, another one for the removal, and one per hold time after both.

--- a/src/controller/channel.rs
+++ b/src/controller/channel.rs
@@ -210,11 +210,10 @@
         push_limit.allows(now, urgency, sent)
     }
 
-    /// How many more messages the limit on the messages to each proxy permits to this proxy within the window
-    /// that ends now.
-    pub(super) fn remaining_messages(&mut self, now: Moment, proxy: u32, limits: &ChannelLimits) -> usize {
+    /// Whether a message to this proxy may be put off without using up the limit on its messages.
+    pub(super) fn may_put_off_push(&mut self, now: Moment, proxy: u32, limits: &ChannelLimits) -> bool {
         let sent = self.backlog.recent_messages(now, proxy, limits.push_limit.window());
-        limits.push_limit.remaining(sent)
+        limits.push_limit.allows_putting_off(now, sent)
     }
 
     /// Whether the queue is so long that the proxies should acknowledge the commands that they receive.
--- a/src/controller/push_limit.rs
+++ b/src/controller/push_limit.rs
@@ -76,13 +76,14 @@
         }
     }
 
-    /// How many more messages the limit permits. `sent` are the times of the messages within the window.
-    pub(super) fn remaining(&self, sent: &[Moment]) -> usize {
-        if self.is_limited() {
-            self.max_pushes.saturating_sub(sent.len())
-        } else {
-            usize::MAX
+    /// Whether a message that could be sent now may be put off, although another one may go in its place: both
+    /// and one per hold time after them stay within the limit.
+    pub(super) fn allows_putting_off(&self, now: Moment, sent: &[Moment]) -> bool {
+        if !self.is_limited() {
+            return true;
         }
+        let unused = self.max_pushes.saturating_sub(sent.len());
+        unused >= 2 && self.sustains_urgent(now, sent, unused - 1)
     }
 
     /// Whether a message now counts against no limit: there is none, or the message is the first one, or it
@@ -94,7 +95,12 @@
     /// Whether a message now and one per hold time after it stay within the limit. True if nothing is held
     /// back.
     fn leaves_room_for_urgent(&self, now: Moment, sent: &[Moment]) -> bool {
-        let unused = self.max_pushes - sent.len();
+        self.sustains_urgent(now, sent, self.max_pushes - sent.len())
+    }
+
+    /// Whether the limit permits one message per hold time, the first one now, if it permits this many without
+    /// any of those that were sent having left the window. True if nothing is held back.
+    fn sustains_urgent(&self, now: Moment, sent: &[Moment], unused: usize) -> bool {
         self.hold_time == Span::ZERO
             || sent.iter().enumerate().all(|(position, sent_at)| {
                 // The first of these messages that the limit permits only once this earlier one is out of the
--- a/src/controller/retention.rs
+++ b/src/controller/retention.rs
@@ -27,9 +27,6 @@
 /// The part of the time within which a removal must be sent that is kept free for delays, such as those of the
 /// timer that ends the retention and of the call that carries the removal.
 const DELAY_FRACTION: f64 = 0.2;
-/// A proxy must have this many messages left within its limit, one for the removal and one for whatever is
-/// sent before; otherwise removals are not put off.
-const MIN_REMAINING_MESSAGES: usize = 2;
 
 /// What the end of a retention depends on, apart from the table.
 struct RetentionContext<'a> {
@@ -102,7 +99,7 @@
         let lead_time = self.removal_lead_time(now, limits, &lacking, receivers_by_table);
         for number in lacking {
             let receivers = receivers_by_table.get(&number).map_or(&[][..], Vec::as_slice);
-            let may_wait = self.have_remaining_messages(now, receivers, limits);
+            let may_wait = self.may_put_off_pushes(now, receivers, limits);
             let lead_time = lead_time.filter(|_| may_wait);
             let context =
                 RetentionContext { now, endpoints: &self.endpoints, config: &self.config, lead_time };
@@ -130,7 +127,7 @@
         let unassigned = self.proxies.matching(|proxy| !proxy.is_assigned());
         let may_wait = self.channel.is_queue_short(now, limits)
             && !self.delivery.is_resend_pending
-            && self.have_remaining_messages(now, &unassigned, limits);
+            && self.may_put_off_pushes(now, &unassigned, limits);
         if !may_wait {
             return None;
         }
@@ -155,10 +152,8 @@
         ids.filter(is_within_grace).cloned().collect()
     }
 
-    fn have_remaining_messages(&mut self, now: Moment, proxies: &[u32], limits: &ChannelLimits) -> bool {
-        proxies
-            .iter()
-            .all(|proxy| self.channel.remaining_messages(now, *proxy, limits) >= MIN_REMAINING_MESSAGES)
+    fn may_put_off_pushes(&mut self, now: Moment, proxies: &[u32], limits: &ChannelLimits) -> bool {
+        proxies.iter().all(|proxy| self.channel.may_put_off_push(now, *proxy, limits))
     }
 }
 
