A proxy without messages left no longer holds up the drains of other tables

What callers saw: with a limit on messages, a drain in one zone waited past its grace because a proxy of another zone had used up its 12 messages.

Change: each proxy is asked with the urgency of its own changes. If one is blocked, tables that can wait do, and those whose changes have been held back for the hold time go without it.

Random courses of the list and of proxies that join and leave are played against a model of the relay (drain_grace_tests.rs).

Measured: the new test of publication fails before and passes after.

--- a/src/controller/changes.rs
+++ b/src/controller/changes.rs
@@ -49,6 +49,14 @@
     pub(super) changes: Vec<WeightChange>,
 }
 
+impl TableChanges {
+    /// The most urgent one of the changes; `None` if there are only ordinary ones.
+    pub(super) fn urgency(&self) -> Option<Urgency> {
+        let urgencies = self.changes.iter().map(|change| change.urgency);
+        urgencies.filter(|urgency| !urgency.is_ordinary()).min()
+    }
+}
+
 /// What the urgency of a change depends on.
 pub(super) struct ChangeContext<'a> {
     pub(super) endpoints: &'a EndpointRegistry,
--- a/src/controller/channel.rs
+++ b/src/controller/channel.rs
@@ -86,6 +86,12 @@
         }
     }
 
+    /// Whether commands of this urgency must not be held back any longer because of the limit on the messages to
+    /// each proxy.
+    pub(super) fn have_been_held(&self, now: Moment, urgency: Urgency) -> bool {
+        self.push_limit.has_been_held(now, urgency)
+    }
+
     /// The time that the channel needs to send some lines.
     pub(super) fn transmission_time(&self, lines: f64) -> Span {
         Span::from_secs(self.transmission_secs(lines))
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -43,6 +43,8 @@
 mod channel;
 mod cold_tables;
 mod delivery;
+#[cfg(test)]
+mod drain_grace_tests;
 mod ejection;
 mod endpoints;
 mod fleet_load;
--- a/src/controller/publication.rs
+++ b/src/controller/publication.rs
@@ -17,7 +17,7 @@
 use super::Controller;
 use crate::host::{Host, RequestClassSet};
 use crate::time::{Moment, Span};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The minimum time between the last commands for a table and a message with only ordinary changes.
 const MIN_PUBLICATION_INTERVAL: Span = Span::from_us(1_000_000);
@@ -60,10 +60,11 @@
         is_queue_short: bool,
     ) -> bool {
         let mut pending = self.collect_changes(now, limits);
+        let is_any_blocked = self.remove_blocked(now, limits, &mut pending);
         let batch = self.urgent_batch(now, limits, &pending, is_queue_short);
         let lines_before = self.channel.backlog.recorded_lines + batch.lines;
-        let mut has_deferred = !batch.is_complete();
-        let ordinary_due = ordinary_due && batch.is_complete();
+        let mut has_deferred = is_any_blocked || !batch.is_complete();
+        let ordinary_due = ordinary_due && !has_deferred;
         // The table whose last commands are the oldest goes first. Otherwise a table that changes constantly
         // would use up the channel.
         pending.sort_by_key(|table| self.tables.by_number[&table.table].last_sent);
@@ -89,12 +90,55 @@
         for table in &mut pending {
             table.changes.retain(|change| change.urgency.deadline().is_some());
         }
+        let is_any_blocked = self.remove_blocked(now, limits, &mut pending);
         let batch = self.urgent_batch(now, limits, &pending, is_queue_short);
         for mut table in pending {
             batch.retain_sendable(&mut table.changes, 0);
             self.send_changes(now, limits, table, false);
         }
-        !batch.is_complete()
+        is_any_blocked || !batch.is_complete()
+    }
+
+    /// If a proxy with urgent changes may not be sent a message now, removes all tables with urgent changes that
+    /// can wait for it, so that each proxy gets the changes of its tables together. Returns whether there are
+    /// any.
+    fn remove_blocked(
+        &mut self,
+        now: Moment,
+        limits: &ChannelLimits,
+        pending: &mut Vec<TableChanges>,
+    ) -> bool {
+        let all = pending.len();
+        loop {
+            let blocked = self.blocked_proxies(now, limits, pending);
+            if blocked.is_empty() {
+                return pending.len() < all;
+            }
+            // Without the changes of the removed tables, messages to other proxies may be less urgent.
+            pending.retain(|table| {
+                table.urgency().is_none_or(|urgency| limits.have_been_held(now, urgency))
+                    && !table.receivers.iter().any(|proxy| blocked.contains(proxy))
+            });
+        }
+    }
+
+    /// The proxies with urgent changes that may not be sent a message now.
+    fn blocked_proxies(
+        &mut self,
+        now: Moment,
+        limits: &ChannelLimits,
+        pending: &[TableChanges],
+    ) -> BTreeSet<u32> {
+        let mut urgencies = BTreeMap::<u32, Urgency>::new();
+        for table in pending {
+            let Some(urgency) = table.urgency() else { continue };
+            for proxy in &table.receivers {
+                let most_urgent = urgencies.entry(*proxy).or_insert(urgency);
+                *most_urgent = urgency.min(*most_urgent);
+            }
+        }
+        urgencies.retain(|proxy, urgency| !self.channel.may_push(now, *urgency, *proxy, limits));
+        urgencies.into_keys().collect()
     }
 
     /// The batch of the urgent changes that fit into the channel; empty while the queue is long.
--- a/src/controller/publication/tests.rs
+++ b/src/controller/publication/tests.rs
@@ -3,8 +3,8 @@
 use crate::config::ControllerConfig;
 use crate::controller::channel::ChannelLimits;
 use crate::controller::routing::RouteTable;
-use crate::controller::test_support::running_large_fleet;
-use crate::host::{EndpointState, RetryPolicy};
+use crate::controller::test_support::{running_large_fleet, Timeline};
+use crate::host::{EndpointState, EndpointUpdate, RetryPolicy, Timer};
 use crate::test_support::{
     at, config, draining, eject, ready, ready_since, restore, running_controller, set_weight, Command,
 };
@@ -127,3 +127,27 @@
     }
     assert_eq!(controller.host.admission_count(), 2);
 }
+
+/// Guards against a proxy that has used up its messages and holds up the drains of tables that it does not use.
+#[test]
+fn a_proxy_that_may_not_be_sent_a_message_holds_up_its_own_tables_only() {
+    let mut config = config();
+    for class in &mut config.request_classes {
+        class.zone_local = true;
+    }
+    let mut controller = running_controller(config, &["a", "b"], 1);
+    let remote = ["c", "d"].map(|id| EndpointUpdate { zone: 1, ..ready(id) });
+    controller.endpoints_updated(at(0.3), &remote);
+    controller.proxy_joined(at(0.3), 1, 1, 10.0, true);
+    controller.timer_fired(at(0.5), Timer::Recheck);
+    for message in 0..12 {
+        controller.channel.backlog.record(at(0.6 + 0.01 * f64::from(message)), 0, 1.0, 3.0);
+    }
+    let mut timeline = Timeline::new(controller, at(1.0));
+    timeline.step(|controller, now| {
+        controller.endpoints_updated(now, &[draining("a"), EndpointUpdate { zone: 1, ..draining("c") }]);
+    });
+    timeline.run_until(2.7);
+    let is_removal_of_c = |command: &Command| matches!(command, Command::SetWeight { endpoint, weight, .. } if &**endpoint == "c" && *weight == 0.0);
+    assert!(timeline.last_issued(is_removal_of_c).is_some(), "not within the 1.7 s that the grace allows");
+}
--- a/src/controller/push_limit.rs
+++ b/src/controller/push_limit.rs
@@ -66,8 +66,10 @@
         if sent.len() >= self.max_pushes {
             return false;
         }
+        if self.has_been_held(now, urgency) {
+            return true;
+        }
         match urgency {
-            Urgency::Deadline(deadline) if now + self.time_after_hold >= deadline => true,
             Urgency::Deadline(_) | Urgency::Prompt => self.leaves_room_for_urgent(now, sent),
             Urgency::Ordinary => {
                 (sent.len() as f64) < self.max_pushes as f64 * ORDINARY_FRACTION
@@ -76,6 +78,11 @@
         }
     }
 
+    /// Whether a message of this urgency has been held back for the hold time.
+    pub(super) fn has_been_held(&self, now: Moment, urgency: Urgency) -> bool {
+        urgency.deadline().is_some_and(|deadline| now + self.time_after_hold >= deadline)
+    }
+
     /// Whether a message that could be sent now may be put off, although another one may go in its place: both
     /// and one per hold time after them stay within the limit.
     pub(super) fn allows_putting_off(&self, now: Moment, sent: &[Moment]) -> bool {
