controller: pending changes, blocked proxies and forgetting are modules of their own

publication.rs decided what to send and also computed the changes of all tables and which proxies are blocked; endpoints.rs held the registry, the state of outlier detection and the end of removed endpoints. Each is now one module: pending_changes.rs, blocked_proxies.rs, outlier_state.rs and forgetting.rs, with their tests. The model of the relay that the random courses use is apart from the courses.

--- a/src/controller/endpoints.rs
+++ b/src/controller/endpoints.rs
@@ -5,9 +5,9 @@
 //! minimum weight, and that no endpoint is forgotten while proxies may still use it. It also determines the
 //! delay before a failed list watch is retried.
 
+use super::outlier_state::OutlierState;
 use super::peak_weight::PeakWeight;
 use crate::config::ControllerConfig;
-use crate::histogram::Histogram;
 use crate::host::{EndpointId, EndpointState, EndpointUpdate};
 use crate::listed_state::ListedState;
 use crate::seeded_rng::SeededRng;
@@ -17,18 +17,9 @@
 /// The minimum weight of a listed endpoint, also used if the list gives a weight that is not finite.
 const MIN_WEIGHT: f64 = 0.01;
 
-/// How long after it was last ready a removed endpoint is remembered: longer than any proxy stays
-/// disconnected while still using its tables, and longer than any drain grace. It also covers the time by which
-/// other controllers may have seen an endpoint earlier than this one.
-const REMOVED_RETENTION: Span = Span::from_us(60_000_000);
-
 /// The mean delay before the list is watched again after repeated failures.
 const WATCH_RETRY_DELAY: Span = Span::from_us(700_000);
 
-/// The number of bands into which attempts are sorted: answered ones by latency, and failed ones into the
-/// last band.
-pub(super) const OUTCOME_BANDS: usize = 5;
-
 /// An endpoint: its list entry, its outcomes from load reports, and whether this controller ejected it.
 #[derive(Default)]
 pub(super) struct Endpoint {
@@ -55,30 +46,6 @@
     pub(super) outlier: OutlierState,
 }
 
-/// How attempts at an endpoint ended, and by how much its weight is reduced because of that.
-#[derive(Default)]
-pub(super) struct OutlierState {
-    /// Recent attempts by outcome band; the counts decay.
-    pub(super) outcomes: Histogram<OUTCOME_BANDS>,
-    /// The level of weight reduction by outlier detection: 0 means full weight, and each higher level a
-    /// smaller fraction of it. Independent of [`Endpoint::ejected`].
-    pub(super) ejection_level: usize,
-    /// How often outlier detection reduced the weight since the last full recovery, up to a maximum. The
-    /// higher the count, the longer each level lasts before the endpoint may recover.
-    pub(super) ejection_count: u32,
-    /// When the ejection level last changed.
-    pub(super) level_changed_at: Moment,
-}
-
-impl OutlierState {
-    /// Changes the ejection level and discards the outcomes observed at the previous level.
-    pub(super) fn set_level(&mut self, level: usize, now: Moment) {
-        self.ejection_level = level;
-        self.level_changed_at = now;
-        self.outcomes = Histogram::default();
-    }
-}
-
 impl Endpoint {
     /// Whether the endpoint list names it as ready.
     pub(super) fn is_ready(&self) -> bool {
@@ -117,12 +84,6 @@
         !self.is_ready() && !self.ejected_everywhere
     }
 
-    /// Whether a proxy that joined at this time may have brought a table that holds it.
-    pub(super) fn may_be_in_table_brought_at(&self, joined: Moment) -> bool {
-        joined + REMOVED_RETENTION >= self.listed.first_listed()
-            && joined <= self.listed.last_ready() + REMOVED_RETENTION
-    }
-
     /// Records that it was ejected from all joined proxies.
     pub(super) fn mark_ejected(&mut self) {
         self.ejected = true;
@@ -269,20 +230,9 @@
         }
     }
 
-    /// Forgets the removed endpoints that were last ready longer ago than [`REMOVED_RETENTION`] and that are
-    /// not `in_use`, and returns them.
-    pub(super) fn forget_removed(
-        &mut self,
-        now: Moment,
-        in_use: impl Fn(&EndpointId, &Endpoint) -> bool,
-    ) -> Vec<(EndpointId, Endpoint)> {
-        let is_expired = |endpoint: &Endpoint| {
-            !endpoint.listed.is_listed() && now - endpoint.listed.last_ready() > REMOVED_RETENTION
-        };
-        let expired =
-            self.by_id.iter().filter(|(id, endpoint)| is_expired(endpoint) && !in_use(id, endpoint));
-        let expired: Vec<EndpointId> = expired.map(|(id, _)| id.clone()).collect();
-        expired.iter().filter_map(|id| self.by_id.remove_entry(id)).collect()
+    /// Removes an endpoint and returns its state.
+    pub(super) fn remove(&mut self, id: &EndpointId) -> Option<Endpoint> {
+        self.by_id.remove(id)
     }
 }
 
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -8,12 +8,13 @@
 //! Commands reach the proxies through the *channel*, the shared queue of messages to all proxies. A *line* is
 //! the unit of its cost: one command sent to one proxy. Message overheads are stated in lines too.
 //!
-//! Each module is responsible for one concern and owns its state and constants. `candidate` and
-//! `routing_snapshot` decide nothing: they define what routing and slow start work on.
+//! Each module is responsible for one concern and owns its state and constants. `candidate`, `outlier_state` and
+//! `routing_snapshot` decide nothing: they define what routing, slow start and outlier detection work on.
 //!
 //! | module | decides |
 //! | --- | --- |
-//! | `endpoints` | the state of each known endpoint, and when an endpoint is forgotten |
+//! | `endpoints` | the state of each known endpoint |
+//! | `forgetting` | when an endpoint that was removed long ago is forgotten |
 //! | `proxies` | the state of each known proxy |
 //! | `outliers` | which endpoints have their weight reduced because of errors or high latency |
 //! | `fleet_load` | whether the fleet is degraded or overloaded |
@@ -25,7 +26,9 @@
 //! | `peak_weight` | how much weight usually carries the load |
 //! | `retention` | which weights a table keeps for a while although none is desired |
 //! | `changes` | which differences from the published tables are worth sending |
+//! | `pending_changes` | the changes of all tables at one point in time |
 //! | `publication` | when changes are sent, and in which order |
+//! | `blocked_proxies` | which changes wait for a proxy that may not be sent a message |
 //! | `urgency` | by when a command must be sent |
 //! | `urgent_batch` | which urgent changes go first |
 //! | `ejection` | when endpoints that are no longer ready are ejected from proxies with stale tables |
@@ -38,6 +41,7 @@
 
 mod admission;
 mod assignment;
+mod blocked_proxies;
 mod candidate;
 mod changes;
 mod channel;
@@ -48,12 +52,17 @@
 mod ejection;
 mod endpoints;
 mod fleet_load;
+mod forgetting;
+mod outlier_state;
 mod outliers;
 mod peak_weight;
+mod pending_changes;
 mod placement;
 mod proxies;
 mod publication;
 mod push_limit;
+#[cfg(test)]
+mod relay_model;
 mod retention;
 mod routing;
 mod routing_snapshot;
@@ -74,7 +83,7 @@
 use candidate::Candidate;
 use channel::{Channel, ChannelLimits};
 use delivery::DeliveryState;
-use endpoints::{Endpoint, EndpointRegistry};
+use endpoints::EndpointRegistry;
 use fleet_load::FleetLoad;
 use outliers::Outcomes;
 use proxies::ProxyRegistry;
@@ -297,28 +306,6 @@
         self.admission.shed_load(now, &mut self.fleet_load, joined_request_rate, &self.config);
     }
 
-    /// Forgets endpoints that were removed long ago and lifts their ejections, so that their ids can be used
-    /// by new endpoints. If they were not forgotten, each joining proxy would be sent the ejections of all
-    /// endpoints that ever existed. One that a table or a shard names is kept, and so is one that a waiting proxy
-    /// may have in the table that it brought: without the ejection the proxy would use it again.
-    fn forget_removed_endpoints(&mut self, now: Moment) {
-        if self.delivery.is_resend_pending {
-            return;
-        }
-        let waiting_since = self.proxies.unassigned_since();
-        let in_use = |id: &EndpointId, endpoint: &Endpoint| {
-            self.tables.any_contains(id)
-                || self.shards.any_contains(id)
-                || waiting_since.iter().any(|joined| endpoint.may_be_in_table_brought_at(*joined))
-        };
-        for (id, endpoint) in self.endpoints.forget_removed(now, in_use) {
-            if endpoint.ejected {
-                self.host.restore_endpoint(&id);
-            }
-            self.host.forget_endpoint(&id);
-        }
-    }
-
     /// The ready endpoints with their current capacity, ordered by id.
     fn candidates(&self, now: Moment) -> Vec<Candidate> {
         routing_snapshot::candidates(now, &self.config, &self.endpoints)
--- a/src/controller/outliers.rs
+++ b/src/controller/outliers.rs
@@ -8,8 +8,9 @@
 //! median endpoint has a high score no endpoint is ejected, since that would only shift the overload to the
 //! others.
 
-use super::endpoints::{Endpoint, EndpointRegistry, OUTCOME_BANDS};
+use super::endpoints::{Endpoint, EndpointRegistry};
 use super::fleet_load::{MEDIAN_SCORE, MIN_ATTEMPTS, REPORT_DELAY};
+use super::outlier_state::OUTCOME_BANDS;
 use super::EVALUATION_INTERVAL;
 use crate::config::ControllerConfig;
 use crate::histogram::Histogram;
--- a/src/controller/publication.rs
+++ b/src/controller/publication.rs
@@ -8,16 +8,13 @@
 //! host are marked as published.
 
 use super::admission::RETRY_POLICY;
-use super::changes::{self, ChangeContext, TableChanges, WeightChange};
+use super::changes::{TableChanges, WeightChange};
 use super::channel::ChannelLimits;
-use super::routing::DesiredWeights;
-use super::routing_snapshot::RoutingSnapshot;
 use super::urgency::Urgency;
 use super::urgent_batch::UrgentBatch;
 use super::Controller;
 use crate::host::{Host, RequestClassSet};
 use crate::time::{Moment, Span};
-use std::collections::{BTreeMap, BTreeSet};
 
 /// The minimum time between the last commands for a table and a message with only ordinary changes.
 const MIN_PUBLICATION_INTERVAL: Span = Span::from_us(1_000_000);
@@ -99,48 +96,6 @@
         is_any_blocked || !batch.is_complete()
     }
 
-    /// If a proxy with urgent changes may not be sent a message now, removes all tables with urgent changes that
-    /// can wait for it, so that each proxy gets the changes of its tables together. Returns whether there are
-    /// any.
-    fn remove_blocked(
-        &mut self,
-        now: Moment,
-        limits: &ChannelLimits,
-        pending: &mut Vec<TableChanges>,
-    ) -> bool {
-        let all = pending.len();
-        loop {
-            let blocked = self.blocked_proxies(now, limits, pending);
-            if blocked.is_empty() {
-                return pending.len() < all;
-            }
-            // Without the changes of the removed tables, messages to other proxies may be less urgent.
-            pending.retain(|table| {
-                table.urgency().is_none_or(|urgency| limits.have_been_held(now, urgency))
-                    && !table.receivers.iter().any(|proxy| blocked.contains(proxy))
-            });
-        }
-    }
-
-    /// The proxies with urgent changes that may not be sent a message now.
-    fn blocked_proxies(
-        &mut self,
-        now: Moment,
-        limits: &ChannelLimits,
-        pending: &[TableChanges],
-    ) -> BTreeSet<u32> {
-        let mut urgencies = BTreeMap::<u32, Urgency>::new();
-        for table in pending {
-            let Some(urgency) = table.urgency() else { continue };
-            for proxy in &table.receivers {
-                let most_urgent = urgencies.entry(*proxy).or_insert(urgency);
-                *most_urgent = urgency.min(*most_urgent);
-            }
-        }
-        urgencies.retain(|proxy, urgency| !self.channel.may_push(now, *urgency, *proxy, limits));
-        urgencies.into_keys().collect()
-    }
-
     /// The batch of the urgent changes that fit into the channel; empty while the queue is long.
     fn urgent_batch(
         &mut self,
@@ -171,48 +126,6 @@
         pending
     }
 
-    /// Computes the changes of all tables.
-    fn all_changes(&mut self, now: Moment, limits: &ChannelLimits) -> Vec<TableChanges> {
-        let snapshot = self.routing_snapshot(now, limits);
-        let receivers_by_table = self.proxies.receivers_by_table();
-        let mut desired_by_table = self.desired_weights(&snapshot);
-        self.retain_weights(now, limits, &mut desired_by_table, &receivers_by_table);
-        let context =
-            ChangeContext { endpoints: &self.endpoints, snapshot: &snapshot, config: &self.config, now };
-        let mut all = Vec::new();
-        for (number, desired) in desired_by_table {
-            let table = &self.tables.by_number[&number];
-            let receivers = receivers_by_table.get(&number).cloned().unwrap_or_default();
-            let changes = changes::weight_changes(table, desired, receivers.len(), limits, &context);
-            all.push(TableChanges { table: number, receivers, changes });
-        }
-        all
-    }
-
-    /// The weights that each table should have now.
-    fn desired_weights(&mut self, snapshot: &RoutingSnapshot) -> BTreeMap<u32, DesiredWeights> {
-        let mut desired_by_table = BTreeMap::new();
-        for (number, table) in &mut self.tables.by_number {
-            desired_by_table.insert(*number, table.desired_weights(*number, snapshot));
-        }
-        if desired_by_table.values().any(|desired| desired.is_held_back) {
-            self.schedule_recheck();
-        }
-        desired_by_table
-    }
-
-    fn routing_snapshot(&self, now: Moment, limits: &ChannelLimits) -> RoutingSnapshot {
-        RoutingSnapshot::new(
-            now,
-            &self.config,
-            &self.endpoints,
-            self.fleet_condition(),
-            self.proxies.rates_by_zone(),
-            limits,
-            self.tables.ring_seed,
-        )
-    }
-
     /// Sends the urgent changes of a table that are in the batch, and the ordinary changes that fit. Without
     /// urgent changes in the batch, ordinary ones are sent only if they are due and worth a message. Returns
     /// whether ordinary changes were deferred because they did not fit.
