Each retained weight is put off by itself as far as the message limit sustains it

Cause: with a limit on messages, all weights of a table were released as soon as a message now and another one at once would have been too many, though most of them are released only when the limit has recovered.

Change: PushLimit::allows_putting_off gets the time to which the message is put off, and each weight is asked for by itself.

--- a/src/controller/channel.rs
+++ b/src/controller/channel.rs
@@ -216,10 +216,17 @@
         push_limit.allows(now, urgency, sent)
     }
 
-    /// Whether a message to this proxy may be put off without using up the limit on its messages.
-    pub(super) fn may_put_off_push(&mut self, now: Moment, proxy: u32, limits: &ChannelLimits) -> bool {
+    /// Whether a message to this proxy may be put off until a later time without exceeding the limit on its
+    /// messages then.
+    pub(super) fn may_put_off_push(
+        &mut self,
+        now: Moment,
+        until: Moment,
+        proxy: u32,
+        limits: &ChannelLimits,
+    ) -> bool {
         let sent = self.backlog.recent_messages(now, proxy, limits.push_limit.window());
-        limits.push_limit.allows_putting_off(now, sent)
+        limits.push_limit.allows_putting_off(now, until, sent)
     }
 
     /// Whether the queue is so long that the proxies should acknowledge the commands that they receive.
--- a/src/controller/push_limit.rs
+++ b/src/controller/push_limit.rs
@@ -83,14 +83,18 @@
         urgency.deadline().is_some_and(|deadline| now + self.time_after_hold >= deadline)
     }
 
-    /// Whether a message that could be sent now may be put off, although another one may go in its place: both
-    /// and one per hold time after them stay within the limit.
-    pub(super) fn allows_putting_off(&self, now: Moment, sent: &[Moment]) -> bool {
+    /// Whether a message that could be sent now may be put off until a later time: even if another one goes in
+    /// its place now, the limit permits it then, and one per hold time after it.
+    pub(super) fn allows_putting_off(&self, now: Moment, until: Moment, sent: &[Moment]) -> bool {
         if !self.is_limited() {
             return true;
         }
-        let unused = self.max_pushes.saturating_sub(sent.len());
-        unused >= 2 && self.sustains_urgent(now, sent, unused - 1)
+        let mut sent: Vec<Moment> =
+            sent.iter().copied().filter(|sent_at| until - *sent_at <= self.window).collect();
+        if sent.last() != Some(&now) {
+            sent.push(now);
+        }
+        sent.len() < self.max_pushes && self.leaves_room_for_urgent(until, &sent)
     }
 
     /// Whether a message now counts against no limit: there is none, or the message is the first one, or it
@@ -102,12 +106,7 @@
     /// Whether a message now and one per hold time after it stay within the limit. True if nothing is held
     /// back.
     fn leaves_room_for_urgent(&self, now: Moment, sent: &[Moment]) -> bool {
-        self.sustains_urgent(now, sent, self.max_pushes - sent.len())
-    }
-
-    /// Whether the limit permits one message per hold time, the first one now, if it permits this many without
-    /// any of those that were sent having left the window. True if nothing is held back.
-    fn sustains_urgent(&self, now: Moment, sent: &[Moment], unused: usize) -> bool {
+        let unused = self.max_pushes - sent.len();
         self.hold_time == Span::ZERO
             || sent.iter().enumerate().all(|(position, sent_at)| {
                 // The first of these messages that the limit permits only once this earlier one is out of the
--- a/src/controller/retention.rs
+++ b/src/controller/retention.rs
@@ -11,7 +11,7 @@
 //! list said of it afterwards and whenever the table lost its other endpoints.
 
 use super::assignment::ASSIGNMENT_RETRY_INTERVAL;
-use super::channel::ChannelLimits;
+use super::channel::{Channel, ChannelLimits};
 use super::endpoints::EndpointRegistry;
 use super::routing::{DesiredWeights, RouteTable};
 use super::urgency::{time_to_send, Urgency};
@@ -28,18 +28,23 @@
 /// timer that ends the retention and of the call that carries the removal.
 const DELAY_FRACTION: f64 = 0.2;
 
-/// What the end of a retention depends on, apart from the table.
+/// What the end of a retention depends on at one point in time.
 struct RetentionContext<'a> {
     now: Moment,
     endpoints: &'a EndpointRegistry,
     config: &'a ControllerConfig,
+    channel: &'a mut Channel,
+    limits: &'a ChannelLimits,
     /// How long before its deadline a removal must be issued; `None` if it must not be put off at all.
     lead_time: Option<Span>,
+    /// The proxies that use no table of the controller yet. Once no table holds an endpoint, it is ejected from
+    /// them.
+    unassigned: Vec<u32>,
 }
 
 impl RetentionContext<'_> {
     /// The weights that a table without desired ones retains now. Records when the retention began.
-    fn retained_weights(&self, table: &mut RouteTable) -> BTreeSet<EndpointId> {
+    fn retained_weights(&mut self, table: &mut RouteTable, receivers: &[u32]) -> BTreeSet<EndpointId> {
         if table.retained_since.is_none() && table.weights.keys().any(|id| self.answers_unlisted(id)) {
             table.retained_since = Some(self.now);
         }
@@ -47,7 +52,7 @@
         if !is_running {
             return BTreeSet::new();
         }
-        table.weights.keys().filter(|id| self.may_stay(id)).cloned().collect()
+        table.weights.keys().filter(|id| self.may_stay(id, receivers)).cloned().collect()
     }
 
     /// Whether an endpoint was removed from the list although it answered recently.
@@ -58,21 +63,29 @@
         })
     }
 
-    /// Whether the removal of an endpoint that is not ready can be put off until the next recheck.
-    fn may_stay(&self, id: &str) -> bool {
+    /// Whether an endpoint that is not ready may stay in a table until the next recheck.
+    fn may_stay(&mut self, id: &str, receivers: &[u32]) -> bool {
         let Some(endpoint) = self.endpoints.get(id).filter(|endpoint| !endpoint.is_ready()) else {
             return false;
         };
         if endpoint.has_stopped_answering(self.config.report_interval) {
             return false;
         }
-        let deadline = Urgency::of_unready(endpoint, self.config).deadline();
-        match (deadline, self.lead_time) {
-            (None, _) => true,
-            (Some(deadline), Some(lead_time)) => self.now + lead_time < deadline,
-            (Some(_), None) => false,
+        match Urgency::of_unready(endpoint, self.config).deadline() {
+            Some(deadline) => self.may_put_off_removal(deadline, receivers),
+            None => true,
         }
     }
+
+    /// Whether a removal with this deadline can be put off until the next recheck.
+    fn may_put_off_removal(&mut self, deadline: Moment, receivers: &[u32]) -> bool {
+        let Some(lead_time) = self.lead_time else { return false };
+        let remaining = deadline - self.now - lead_time;
+        let until = self.now + remaining;
+        let mut proxies = receivers.iter().chain(&self.unassigned);
+        remaining > Span::ZERO
+            && proxies.all(|proxy| self.channel.may_put_off_push(self.now, until, *proxy, self.limits))
+    }
 }
 
 impl<H: Host> Controller<H> {
@@ -97,38 +110,40 @@
             return;
         }
         let lead_time = self.removal_lead_time(now, limits, &lacking, receivers_by_table);
+        let mut context = RetentionContext {
+            now,
+            endpoints: &self.endpoints,
+            config: &self.config,
+            channel: &mut self.channel,
+            limits,
+            lead_time,
+            unassigned: self.proxies.matching(|proxy| !proxy.is_assigned()),
+        };
+        let mut retains_any = false;
         for number in lacking {
             let receivers = receivers_by_table.get(&number).map_or(&[][..], Vec::as_slice);
-            let may_wait = self.may_put_off_pushes(now, receivers, limits);
-            let lead_time = lead_time.filter(|_| may_wait);
-            let context =
-                RetentionContext { now, endpoints: &self.endpoints, config: &self.config, lead_time };
             let Some(table) = self.tables.by_number.get_mut(&number) else { continue };
-            let retained = context.retained_weights(table);
+            let retained = context.retained_weights(table, receivers);
+            retains_any |= !retained.is_empty();
             let Some(desired) = desired_by_table.get_mut(&number) else { continue };
             desired.retained = retained;
         }
-        if desired_by_table.values().any(|desired| !desired.retained.is_empty()) {
+        if retains_any {
             self.schedule_recheck();
         }
     }
 
     /// How long before its deadline a removal must be issued, so that the channel can send it and all others
-    /// of these tables in time. `None` if removals must not be put off at all: the queue is long, earlier
-    /// commands are not accepted yet, or a proxy with stale tables, from which the endpoint is ejected once no
-    /// table holds it, has few messages left.
+    /// of these tables in time. `None` if removals must not be put off at all, because the queue is long or
+    /// earlier commands are not accepted yet.
     fn removal_lead_time(
-        &mut self,
+        &self,
         now: Moment,
         limits: &ChannelLimits,
         tables: &[u32],
         receivers_by_table: &BTreeMap<u32, Vec<u32>>,
     ) -> Option<Span> {
-        let unassigned = self.proxies.matching(|proxy| !proxy.is_assigned());
-        let may_wait = self.channel.is_queue_short(now, limits)
-            && !self.delivery.is_resend_pending
-            && self.may_put_off_pushes(now, &unassigned, limits);
-        if !may_wait {
+        if self.delivery.is_resend_pending || !self.channel.is_queue_short(now, limits) {
             return None;
         }
         let mut removed = BTreeSet::new();
@@ -151,10 +166,6 @@
         };
         ids.filter(is_within_grace).cloned().collect()
     }
-
-    fn may_put_off_pushes(&mut self, now: Moment, proxies: &[u32], limits: &ChannelLimits) -> bool {
-        proxies.iter().all(|proxy| self.channel.may_put_off_push(now, *proxy, limits))
-    }
 }
 
 #[cfg(test)]
