A reduction for the fleet's condition is told apart from that of a restart

Cause: the change before looked only at how long ago the start was listed.

Change: slow start also tells the weight without the reduction for the fleet's condition, and only a published weight of more than twice that one is taken for a restart.

--- a/src/controller/changes.rs
+++ b/src/controller/changes.rs
@@ -87,8 +87,9 @@
         lacks_warm: bool,
     ) -> Urgency {
         let is_overloaded = !desired.is_warm && published > RESTART_RATIO * desired.weight;
+        let has_restarted = !desired.is_warm && published > RESTART_RATIO * desired.unreduced_weight;
         match self.endpoints.get(id) {
-            Some(endpoint) if is_overloaded && self.is_new_start(endpoint) => {
+            Some(endpoint) if has_restarted && self.is_new_start(endpoint) => {
                 Urgency::within_grace(endpoint.start_listed, self.config)
             }
             _ if is_overloaded || lacks_warm && published == 0.0 => Urgency::Prompt,
@@ -117,7 +118,7 @@
     let lacks_warm = !context.snapshot.any_warm(&table.weights);
     let mut changes = removals(table, &desired, context);
     for (id, desired) in desired.weights {
-        let EndpointWeight { weight, is_warm } = desired;
+        let EndpointWeight { weight, is_warm, .. } = desired;
         let published = table.weights.get(&id).copied().unwrap_or(0.0);
         let ratio = (published / weight).max(weight / published);
         let difference = (published - weight).abs();
--- a/src/controller/changes/tests.rs
+++ b/src/controller/changes/tests.rs
@@ -29,23 +29,26 @@
     assert!(controller.host.weight(0, "a").unwrap() < 0.3);
 }
 
-/// Guards against a reduced weight that counts as overdue because its endpoint started long ago, and takes the last
-/// message that a proxy may be sent: a drain would wait until the window of the limit has passed.
+/// Guards against a weight that is reduced because of the fleet's condition, but counts as that of an endpoint
+/// that has restarted: it is overdue soon and takes the last message that a proxy may be sent, so that a drain would
+/// wait until the window of the limit has passed.
 #[test]
-fn a_weight_that_is_reduced_long_after_a_start_leaves_the_messages_to_a_drain() {
-    let mut controller = running_controller(config(), &["a", "b"], 1);
-    controller.endpoints_updated(at(0.3), &[ready_since("c", 0.2)]);
-    let mut timeline = Timeline::new(controller, at(0.3));
-    for message in 0..7 {
-        timeline.run_until(4.0 + 0.05 * f64::from(message));
-        timeline.step(|controller, now| controller.channel.backlog.record(now, 0, 1.0, 3.0));
+fn a_weight_that_is_reduced_for_the_condition_of_the_fleet_leaves_the_messages_to_a_drain() {
+    for (started, messages) in [(0.2, 7), (3.6, 9)] {
+        let mut controller = running_controller(config(), &["a", "b"], 1);
+        controller.endpoints_updated(at(started + 0.1), &[ready_since("c", started)]);
+        let mut timeline = Timeline::new(controller, at(started + 0.1));
+        for message in 0..messages {
+            timeline.run_until(4.0 + 0.05 * f64::from(message));
+            timeline.step(|controller, now| controller.channel.backlog.record(now, 0, 1.0, 3.0));
+        }
+        timeline.step(|controller, now| {
+            controller.outcomes_reported(now, "a", 100.0, 95.0, Span::from_secs(0.1), Span::from_secs(1.0));
+        });
+        timeline.run_until(6.0);
+        timeline.step(|controller, now| controller.endpoints_updated(now, &[draining("b")]));
+        timeline.run_until(22.0);
+        let removed = timeline.last_issued(|command| *command == set_weight(0, "b", 0.0));
+        assert!(removed.is_some_and(|removed| removed <= at(7.7)), "start at {started}: {removed:?}");
     }
-    timeline.step(|controller, now| {
-        controller.outcomes_reported(now, "a", 100.0, 95.0, Span::from_secs(0.1), Span::from_secs(1.0));
-    });
-    timeline.run_until(6.0);
-    timeline.step(|controller, now| controller.endpoints_updated(now, &[draining("b")]));
-    timeline.run_until(22.0);
-    let removed = timeline.last_issued(|command| *command == set_weight(0, "b", 0.0)).expect("b is removed");
-    assert!(removed <= at(7.7), "{removed:?}");
 }
--- a/src/controller/slow_start.rs
+++ b/src/controller/slow_start.rs
@@ -30,6 +30,8 @@
 /// The weight that an endpoint should have in a table.
 pub(super) struct EndpointWeight {
     pub(super) weight: f64,
+    /// The weight without the reduction because of the fleet's condition.
+    pub(super) unreduced_weight: f64,
     pub(super) is_warm: bool,
 }
 
@@ -99,7 +101,8 @@
         }
         let factor = if is_warm { 1.0 } else { candidate.slow_start_factor * cold_factor };
         let weight = candidate.weight * factor;
-        weights.insert(candidate.id, EndpointWeight { weight, is_warm });
+        let unreduced_weight = candidate.capacity();
+        weights.insert(candidate.id, EndpointWeight { weight, unreduced_weight, is_warm });
     }
     weights
 }
