--- a/src/controller/blocked_proxies.rs
+++ b/src/controller/blocked_proxies.rs
@@ -1,7 +1,7 @@
 //! Proxies that may not be sent a message now, and the changes that wait for them.
 //!
-//! `publication` asks here before it batches urgent changes. A proxy may be blocked because it was sent as many
-//! messages as the limit permits, or because one more would leave no room for later drains.
+//! `publication` asks here before it batches urgent changes. A proxy may be blocked because it was sent as
+//! many messages as the limit permits, or because one more would leave no room for later drains.
 
 use super::changes::TableChanges;
 use super::channel::ChannelLimits;
@@ -12,9 +12,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 impl<H: Host> Controller<H> {
-    /// If a proxy with urgent changes may not be sent a message now, removes all tables with urgent changes that
-    /// can wait for it, so that each proxy gets the changes of its tables together. Returns whether there are
-    /// any.
+    /// If a proxy with urgent changes may not be sent a message now, removes all tables with urgent changes
+    /// that can wait for it, so that each proxy gets the changes of its tables together. Returns whether
+    /// there are any.
     pub(super) fn remove_blocked(
         &mut self,
         now: Moment,
--- a/src/controller/changes.rs
+++ b/src/controller/changes.rs
@@ -66,8 +66,8 @@
 }
 
 impl ChangeContext<'_> {
-    /// The urgency of a removal: the drain grace of the endpoint is running, the endpoint was removed from the
-    /// list, or it is cold and may be overloaded.
+    /// The urgency of a removal: the drain grace of the endpoint is running, the endpoint was removed from
+    /// the list, or it is cold and may be overloaded.
     fn removal_urgency(&self, id: &EndpointId, is_held_back: bool) -> Urgency {
         match self.endpoints.get(id).filter(|endpoint| !endpoint.is_ready()) {
             Some(unready) => Urgency::of_unready(unready, self.config),
--- a/src/controller/changes/tests.rs
+++ b/src/controller/changes/tests.rs
@@ -29,9 +29,9 @@
     assert!(controller.host.weight(0, "a").unwrap() < 0.3);
 }
 
-/// Guards against a weight that is reduced because of the fleet's condition, but counts as that of an endpoint
-/// that has restarted: it is overdue soon and takes the last message that a proxy may be sent, so that a drain would
-/// wait until the window of the limit has passed.
+/// Guards against a weight that is reduced because of the fleet's condition, but counts as that of an
+/// endpoint that has restarted: it is overdue soon and takes the last message that a proxy may be sent, so
+/// that a drain would wait until the window of the limit has passed.
 #[test]
 fn a_weight_that_is_reduced_for_the_condition_of_the_fleet_leaves_the_messages_to_a_drain() {
     for (started, messages) in [(0.2, 7), (3.6, 9)] {
--- a/src/controller/channel.rs
+++ b/src/controller/channel.rs
@@ -86,8 +86,8 @@
         }
     }
 
-    /// Whether commands of this urgency must not be held back any longer because of the limit on the messages to
-    /// each proxy.
+    /// Whether commands of this urgency must not be held back any longer because of the limit on the messages
+    /// to each proxy.
     pub(super) fn have_been_held(&self, now: Moment, urgency: Urgency) -> bool {
         self.push_limit.has_been_held(now, urgency)
     }
--- a/src/controller/drain_grace_tests.rs
+++ b/src/controller/drain_grace_tests.rs
@@ -1,6 +1,6 @@
-//! Random courses of the endpoint list and of the proxies, played against a model of the relay that knows what
-//! each proxy may use. No proxy may have an endpoint for longer than its drain grace, in whichever order the list
-//! tells of it.
+//! Random courses of the endpoint list and of the proxies, played against a model of the relay that knows
+//! what each proxy may use. No proxy may have an endpoint for longer than its drain grace, in whichever order
+//! the list tells of it.
 
 use super::relay_model::{Input, RelayModel, TimedInput};
 use super::test_support::{IssuedCommand, Timeline};
@@ -32,8 +32,8 @@
         (self.rng.next_f64() * limit as f64) as usize
     }
 
-    /// Draws new states of some endpoints. In a part of the answers an endpoint has two entries, and in another
-    /// part all endpoints of a zone change.
+    /// Draws new states of some endpoints. In a part of the answers an endpoint has two entries, and in
+    /// another part all endpoints of a zone change.
     fn draw_list(&mut self, now: Moment) -> Input {
         let whole_zone = (self.below(3) == 0).then(|| self.below(ZONES as usize) as u32);
         let mut updates = Vec::new();
@@ -182,8 +182,8 @@
     }
 }
 
-/// Guards against any path that lets a proxy keep an endpoint for longer than its grace: retention, ejections,
-/// joins with former tables, lists that tell of draining and dropping in any order.
+/// Guards against any path that lets a proxy keep an endpoint for longer than its grace: retention,
+/// ejections, joins with former tables, lists that tell of draining and dropping in any order.
 #[test]
 fn no_proxy_keeps_an_endpoint_beyond_its_grace_where_only_draining_binds() {
     let config = ControllerConfig { drain_grace_excludes_removed: true, ..zone_local_config() };
@@ -197,8 +197,8 @@
     assert_graces_are_kept(&ControllerConfig { max_pushes: 0, ..zone_local_config() }, 301..340);
 }
 
-/// A restoration reaches each proxy with a stale table that holds the endpoint, and is issued without regard to the
-/// limit on messages. Here it takes a message that a drain needs right after it.
+/// A restoration reaches each proxy with a stale table that holds the endpoint, and is issued without regard
+/// to the limit on messages. Here it takes a message that a drain needs right after it.
 #[test]
 fn a_restoration_leaves_the_messages_to_a_drain() {
     let config = ControllerConfig {
--- a/src/controller/ejection.rs
+++ b/src/controller/ejection.rs
@@ -36,7 +36,8 @@
 
 impl DueEjection {
     fn new(id: &EndpointId, endpoint: &Endpoint, config: &ControllerConfig) -> Self {
-        // At a proxy that joined after the endpoint stopped being ready, the drain grace counts from the join.
+        // At a proxy that joined after the endpoint stopped being ready, the drain grace counts from the
+        // join.
         let grace_since = endpoint.grace_since(config).map(|since| since.max(endpoint.ejection_due_since));
         DueEjection {
             urgency: grace_since.map_or(Urgency::Prompt, |since| Urgency::within_grace(since, config)),
--- a/src/controller/forgetting.rs
+++ b/src/controller/forgetting.rs
@@ -1,19 +1,19 @@
 //! Forgetting: when an endpoint that was removed from the list long ago is dropped from the registry, and its
 //! ejection is lifted.
 //!
-//! [`Controller`] asks once per evaluation. Without an end to it, each joining proxy would be sent the ejections of
-//! all endpoints that ever existed. But an endpoint whose ejection is lifted is used again by every proxy that
-//! still has it, so it is kept while one may: while a table or a shard names it, or a proxy waits that may have it
-//! in the table that it brought.
+//! [`Controller`] asks once per evaluation. Without an end to it, each joining proxy would be sent the
+//! ejections of all endpoints that ever existed. But an endpoint whose ejection is lifted is used again by
+//! every proxy that still has it, so it is kept while one may: while a table or a shard names it, or a proxy
+//! waits that may have it in the table that it brought.
 
 use super::endpoints::Endpoint;
 use super::Controller;
 use crate::host::{EndpointId, Host};
 use crate::time::{Moment, Span};
 
-/// How long after it was last ready a removed endpoint is remembered: longer than any proxy stays disconnected
-/// while still using its tables, and longer than any drain grace. It also covers the time by which other
-/// controllers may have seen an endpoint earlier than this one.
+/// How long after it was last ready a removed endpoint is remembered: longer than any proxy stays
+/// disconnected while still using its tables, and longer than any drain grace. It also covers the time by
+/// which other controllers may have seen an endpoint earlier than this one.
 const REMOVED_RETENTION: Span = Span::from_us(60_000_000);
 
 impl<H: Host> Controller<H> {
--- a/src/controller/forgetting/tests.rs
+++ b/src/controller/forgetting/tests.rs
@@ -31,8 +31,8 @@
     assert!(retained_entries < 200, "{retained_entries}");
 }
 
-/// Guards against an ejection that is lifted 60 s after the endpoint was last ready, while a proxy still waits
-/// with the table that it brought, because its zone has no endpoint for a class that must not leave it.
+/// Guards against an ejection that is lifted 60 s after the endpoint was last ready, while a proxy still
+/// waits with the table that it brought, because its zone has no endpoint for a class that must not leave it.
 #[test]
 fn an_endpoint_is_not_forgotten_while_a_proxy_waits_that_may_have_it_in_its_former_table() {
     let mut config = config();
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -8,8 +8,8 @@
 //! Commands reach the proxies through the *channel*, the shared queue of messages to all proxies. A *line* is
 //! the unit of its cost: one command sent to one proxy. Message overheads are stated in lines too.
 //!
-//! Each module is responsible for one concern and owns its state and constants. `candidate`, `outlier_state` and
-//! `routing_snapshot` decide nothing: they define what routing, slow start and outlier detection work on.
+//! Each module is responsible for one concern and owns its state and constants. `candidate`, `outlier_state`
+//! and `routing_snapshot` decide nothing: they define what routing, slow start and outlier detection work on.
 //!
 //! | module | decides |
 //! | --- | --- |
--- a/src/controller/outlier_state.rs
+++ b/src/controller/outlier_state.rs
@@ -1,4 +1,5 @@
-//! What outlier detection keeps for each endpoint. The endpoint registry holds it, and `outliers` decides by it.
+//! What outlier detection keeps for each endpoint. The endpoint registry holds it, and `outliers` decides by
+//! it.
 
 use crate::histogram::Histogram;
 use crate::time::Moment;
--- a/src/controller/pending_changes.rs
+++ b/src/controller/pending_changes.rs
@@ -1,5 +1,5 @@
-//! The changes of all tables at one point in time: what each table should hold, less what it retains, compared with
-//! what was published.
+//! The changes of all tables at one point in time: what each table should hold, less what it retains,
+//! compared with what was published.
 //!
 //! `publication` asks for them whenever it publishes, and decides which are sent.
 
--- a/src/controller/publication/tests.rs
+++ b/src/controller/publication/tests.rs
@@ -128,7 +128,8 @@
     assert_eq!(controller.host.admission_count(), 2);
 }
 
-/// Guards against a proxy that has used up its messages and holds up the drains of tables that it does not use.
+/// Guards against a proxy that has used up its messages and holds up the drains of tables that it does not
+/// use.
 #[test]
 fn a_proxy_that_may_not_be_sent_a_message_holds_up_its_own_tables_only() {
     let mut config = config();
@@ -140,6 +141,7 @@
     controller.endpoints_updated(at(0.3), &remote);
     controller.proxy_joined(at(0.3), 1, 1, 10.0, true);
     controller.timer_fired(at(0.5), Timer::Recheck);
+    let zone_1_table = controller.host.tables_of(1)[0];
     for message in 0..12 {
         controller.channel.backlog.record(at(0.6 + 0.01 * f64::from(message)), 0, 1.0, 3.0);
     }
@@ -148,6 +150,6 @@
         controller.endpoints_updated(now, &[draining("a"), EndpointUpdate { zone: 1, ..draining("c") }]);
     });
     timeline.run_until(2.7);
-    let is_removal_of_c = |command: &Command| matches!(command, Command::SetWeight { endpoint, weight, .. } if &**endpoint == "c" && *weight == 0.0);
-    assert!(timeline.last_issued(is_removal_of_c).is_some(), "not within the 1.7 s that the grace allows");
+    let removal_of_c = timeline.last_issued(|command| *command == set_weight(zone_1_table, "c", 0.0));
+    assert!(removal_of_c.is_some(), "not within the 1.7 s that the grace allows");
 }
--- a/src/controller/push_limit.rs
+++ b/src/controller/push_limit.rs
@@ -83,8 +83,8 @@
         urgency.deadline().is_some_and(|deadline| now + self.time_after_hold >= deadline)
     }
 
-    /// Whether a message that could be sent now may be put off until a later time: even if another one goes in
-    /// its place now, the limit permits it then, and one per hold time after it.
+    /// Whether a message that could be sent now may be put off until a later time: even if another one goes
+    /// in its place now, the limit permits it then, and one per hold time after it.
     pub(super) fn allows_putting_off(&self, now: Moment, until: Moment, sent: &[Moment]) -> bool {
         if !self.is_limited() {
             return true;
--- a/src/controller/push_limit/tests.rs
+++ b/src/controller/push_limit/tests.rs
@@ -104,8 +104,8 @@
     }
 }
 
-/// Guards against a removal that is put off until after another message, with too little of the limit left for
-/// the next drain.
+/// Guards against a removal that is put off until after another message, with too little of the limit left
+/// for the next drain.
 #[test]
 fn a_message_is_put_off_only_until_the_limit_sustains_it_after_another_one() {
     let limit = PushLimit::new(&config());
--- a/src/controller/retention.rs
+++ b/src/controller/retention.rs
@@ -7,8 +7,8 @@
 //!
 //! Each weight has its own end. Where the drain grace applies to its endpoint, the weight is retained only as
 //! long as its removal can still be sent, and applied by all proxies, within the grace. This counts from when
-//! the endpoint was first listed as draining (or, if the grace applies to that as well, removed), whatever the
-//! list said of it afterwards and whenever the table lost its other endpoints.
+//! the endpoint was first listed as draining (or, if the grace applies to that as well, removed), whatever
+//! the list said of it afterwards and whenever the table lost its other endpoints.
 
 use super::assignment::ASSIGNMENT_RETRY_INTERVAL;
 use super::channel::{Channel, ChannelLimits};
@@ -24,8 +24,8 @@
 /// The longest time for which a table retains weights when none is desired. Also the age below which an
 /// answer of a removed endpoint counts as recent.
 const MAX_RETENTION_TIME: Span = ASSIGNMENT_RETRY_INTERVAL;
-/// The part of the time within which a removal must be sent that is kept free for delays, such as those of the
-/// timer that ends the retention and of the call that carries the removal.
+/// The part of the time within which a removal must be sent that is kept free for delays, such as those of
+/// the timer that ends the retention and of the call that carries the removal.
 const DELAY_FRACTION: f64 = 0.2;
 
 /// What the end of a retention depends on at one point in time.
@@ -37,8 +37,8 @@
     limits: &'a ChannelLimits,
     /// How long before its deadline a removal must be issued; `None` if it must not be put off at all.
     lead_time: Option<Span>,
-    /// The proxies that use no table of the controller yet. Once no table holds an endpoint, it is ejected from
-    /// them.
+    /// The proxies that use no table of the controller yet. Once no table holds an endpoint, it is ejected
+    /// from them.
     unassigned: Vec<u32>,
 }
 
--- a/src/controller/retention/tests.rs
+++ b/src/controller/retention/tests.rs
@@ -128,8 +128,8 @@
     assert_eq!((controller.host.weight(0, "b"), controller.host.weight(0, "c")), (None, None));
 }
 
-/// Guards against a removal that no grace limits, and that therefore counts as overdue, taking the last message
-/// that a proxy may be sent: the next drain would wait until the window of the limit has passed.
+/// Guards against a removal that no grace limits, and that therefore counts as overdue, taking the last
+/// message that a proxy may be sent: the next drain would wait until the window of the limit has passed.
 #[test]
 fn an_endpoint_that_was_only_dropped_leaves_the_messages_to_one_that_drains() {
     let controller = running_controller(only_draining_binds(), &["a", "b", "c"], 1);
