One expression for the time to send, no clones of receivers each turn

ControllerConfig::time_to_send and Urgency::of_grace serve all; the receivers are moved as before; without a limit nothing is asked. A broken link in a doc comment is mended.

--- a/control-plane/src/controller_restart.rs
+++ b/control-plane/src/controller_restart.rs
@@ -76,7 +76,7 @@
         self.controller = Controller::start(host, self.config.controller.clone(), seed, now);
         let controller = &mut self.controller;
         let replayed = catch_panic(|| {
-            controller.restore_unready_endpoints(unready.iter().map(|(id, listed)| (id, *listed)));
+            controller.restore_unready_endpoints(unready);
             controller.endpoints_updated(now, &removed);
             controller.endpoint_list_replaced(now, &listed);
             for (number, proxy) in proxies {
--- a/control-plane/src/observed_fleet.rs
+++ b/control-plane/src/observed_fleet.rs
@@ -23,13 +23,6 @@
     listed: ListedState,
 }
 
-impl ObservedEndpoint {
-    fn update(&mut self, now: Moment, state: EndpointState) {
-        self.entry.state = state;
-        self.listed.update(now, state);
-    }
-}
-
 /// The known endpoints and proxies.
 #[derive(Default)]
 pub struct ObservedFleet {
@@ -44,7 +37,8 @@
     /// Replaces the complete endpoint list. Known endpoints that it does not contain are marked as removed.
     pub fn replace_endpoint_list(&mut self, now: Moment, updates: &[EndpointUpdate]) {
         for endpoint in self.endpoints.values_mut() {
-            endpoint.update(now, EndpointState::Removed);
+            endpoint.entry.state = EndpointState::Removed;
+            endpoint.listed.update(now, EndpointState::Removed);
         }
         self.update_endpoints(now, updates);
     }
@@ -52,12 +46,10 @@
     /// Applies changed entries of the endpoint list.
     pub fn update_endpoints(&mut self, now: Moment, updates: &[EndpointUpdate]) {
         for update in updates {
-            let endpoint = self.endpoints.entry(update.id.clone()).or_insert_with(|| ObservedEndpoint {
-                entry: update.clone(),
-                listed: ListedState::first_seen(now, update.state),
-            });
-            endpoint.entry = update.clone();
-            endpoint.update(now, update.state);
+            let known = self.endpoints.get(&update.id).map(|endpoint| endpoint.listed);
+            let mut listed = known.unwrap_or_else(|| ListedState::first_seen(now, update.state));
+            listed.update(now, update.state);
+            self.endpoints.insert(update.id.clone(), ObservedEndpoint { entry: update.clone(), listed });
         }
     }
 
--- a/src/config.rs
+++ b/src/config.rs
@@ -108,8 +108,13 @@
         ]
     }
 
+    /// The part of the drain grace within which a command must be sent: the rest is for its transit.
+    pub fn time_to_send(&self) -> Span {
+        self.drain_grace - self.max_transit
+    }
+
     /// The lines that the channel can deliver to the proxies within the drain grace.
     pub fn lines_within_grace(&self) -> f64 {
-        (self.drain_grace - self.max_transit).as_secs() * self.channel_rate
+        self.time_to_send().as_secs() * self.channel_rate
     }
 }
--- a/src/controller/blocked_proxies.rs
+++ b/src/controller/blocked_proxies.rs
@@ -21,6 +21,9 @@
         limits: &ChannelLimits,
         pending: &mut Vec<TableChanges>,
     ) -> bool {
+        if !limits.limits_messages() {
+            return false;
+        }
         let all = pending.len();
         loop {
             let blocked = self.blocked_proxies(now, limits, pending);
--- a/src/controller/channel.rs
+++ b/src/controller/channel.rs
@@ -86,6 +86,11 @@
         }
     }
 
+    /// Whether the messages to each proxy are limited.
+    pub(super) fn limits_messages(&self) -> bool {
+        self.push_limit.is_limited()
+    }
+
     /// Whether commands of this urgency must not be held back any longer because of the limit on the messages
     /// to each proxy.
     pub(super) fn have_been_held(&self, now: Moment, urgency: Urgency) -> bool {
@@ -225,6 +230,9 @@
         proxy: u32,
         limits: &ChannelLimits,
     ) -> bool {
+        if !limits.limits_messages() {
+            return true;
+        }
         let sent = self.backlog.recent_messages(now, proxy, limits.push_limit.window());
         limits.push_limit.allows_putting_off(now, until, sent)
     }
--- a/src/controller/ejection.rs
+++ b/src/controller/ejection.rs
@@ -40,7 +40,7 @@
         // join.
         let grace_since = endpoint.grace_since(config).map(|since| since.max(endpoint.ejection_due_since));
         DueEjection {
-            urgency: grace_since.map_or(Urgency::Prompt, |since| Urgency::within_grace(since, config)),
+            urgency: Urgency::of_grace(grace_since, config),
             last_ready: endpoint.listed.last_ready(),
             id: id.clone(),
             due_since: endpoint.ejection_due_since,
@@ -68,7 +68,7 @@
         let to_eject = self.due_ejections();
         let total_cost = self.ejection_cost(to_eject.len(), limits);
         let due_since = to_eject.iter().map(|ejection| ejection.due_since).min().unwrap_or(now);
-        let collection_time = (self.config.drain_grace - self.config.max_transit) * COLLECTION_GRACE_FRACTION;
+        let collection_time = self.config.time_to_send() * COLLECTION_GRACE_FRACTION;
         // On a busy channel, ejecting the few endpoints of each event separately would cost a message to
         // every unassigned proxy each time.
         let is_idle = limits.is_nearly_idle(total_cost + self.channel.backlog.queued_lines(now));
--- a/src/controller/endpoints.rs
+++ b/src/controller/endpoints.rs
@@ -134,9 +134,9 @@
     }
 
     /// Adds an endpoint that is not ready, with the times that a former controller knew.
-    pub(super) fn restore(&mut self, id: &EndpointId, listed: ListedState) {
+    pub(super) fn restore(&mut self, id: EndpointId, listed: ListedState) {
         let endpoint = Endpoint { listed, ejection_due_since: listed.last_ready(), ..Endpoint::default() };
-        self.by_id.insert(id.clone(), endpoint);
+        self.by_id.insert(id, endpoint);
     }
 
     /// Marks endpoints that are missing from a complete list as removed.
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -148,11 +148,8 @@
     }
 
     /// Takes over endpoints that are not ready from a former controller, before any other event. Their drain
-    /// graces have been running since the times in `listed`.
-    pub fn restore_unready_endpoints<'a>(
-        &mut self,
-        endpoints: impl IntoIterator<Item = (&'a EndpointId, ListedState)>,
-    ) {
+    /// graces have been running since the times in the listed states.
+    pub fn restore_unready_endpoints(&mut self, endpoints: Vec<(EndpointId, ListedState)>) {
         for (id, listed) in endpoints {
             self.endpoints.restore(id, listed);
         }
--- a/src/controller/outlier_state.rs
+++ b/src/controller/outlier_state.rs
@@ -14,7 +14,7 @@
     /// Recent attempts by outcome band; the counts decay.
     pub(super) outcomes: Histogram<OUTCOME_BANDS>,
     /// The level of weight reduction by outlier detection: 0 means full weight, and each higher level a
-    /// smaller fraction of it. Independent of [`Endpoint::ejected`].
+    /// smaller fraction of it. Independent of [`Endpoint::ejected`](super::endpoints::Endpoint::ejected).
     pub(super) ejection_level: usize,
     /// How often outlier detection reduced the weight since the last full recovery, up to a maximum. The
     /// higher the count, the longer each level lasts before the endpoint may recover.
--- a/src/controller/pending_changes.rs
+++ b/src/controller/pending_changes.rs
@@ -16,7 +16,7 @@
     /// Computes the changes of all tables.
     pub(super) fn all_changes(&mut self, now: Moment, limits: &ChannelLimits) -> Vec<TableChanges> {
         let snapshot = self.routing_snapshot(now, limits);
-        let receivers_by_table = self.proxies.receivers_by_table();
+        let mut receivers_by_table = self.proxies.receivers_by_table();
         let mut desired_by_table = self.desired_weights(&snapshot);
         self.retain_weights(now, limits, &mut desired_by_table, &receivers_by_table);
         let context =
@@ -24,7 +24,7 @@
         let mut all = Vec::new();
         for (number, desired) in desired_by_table {
             let table = &self.tables.by_number[&number];
-            let receivers = receivers_by_table.get(&number).cloned().unwrap_or_default();
+            let receivers = receivers_by_table.remove(&number).unwrap_or_default();
             let changes = changes::weight_changes(table, desired, receivers.len(), limits, &context);
             all.push(TableChanges { table: number, receivers, changes });
         }
--- a/src/controller/push_limit.rs
+++ b/src/controller/push_limit.rs
@@ -40,7 +40,7 @@
     pub(super) fn new(config: &ControllerConfig) -> Self {
         let max_pushes = config.max_pushes as usize;
         let hold_time = hold_time(config, max_pushes);
-        let time_after_hold = config.drain_grace - config.max_transit - hold_time;
+        let time_after_hold = config.time_to_send() - hold_time;
         PushLimit { max_pushes, window: config.push_window, hold_time, time_after_hold }
     }
 
@@ -86,9 +86,6 @@
     /// Whether a message that could be sent now may be put off until a later time: even if another one goes
     /// in its place now, the limit permits it then, and one per hold time after it.
     pub(super) fn allows_putting_off(&self, now: Moment, until: Moment, sent: &[Moment]) -> bool {
-        if !self.is_limited() {
-            return true;
-        }
         let mut sent: Vec<Moment> =
             sent.iter().copied().filter(|sent_at| until - *sent_at <= self.window).collect();
         if sent.last() != Some(&now) {
@@ -119,7 +116,7 @@
 
 fn hold_time(config: &ControllerConfig, max_pushes: usize) -> Span {
     let after_burst = config.push_window * (1.0 / max_pushes.saturating_sub(BURST).max(1) as f64);
-    let within_grace = (config.drain_grace - config.max_transit) * MAX_HOLD_FRACTION;
+    let within_grace = config.time_to_send() * MAX_HOLD_FRACTION;
     let hold_time = after_burst.min(within_grace);
     if hold_time * max_pushes as f64 > config.push_window {
         hold_time
--- a/src/controller/relay_model.rs
+++ b/src/controller/relay_model.rs
@@ -130,7 +130,7 @@
 
     /// The proxies that have had an endpoint until now though the time to send its removal is over.
     pub(super) fn violations(&self, now: Moment) -> Vec<String> {
-        let time_to_send = self.config.drain_grace - self.config.max_transit;
+        let time_to_send = self.config.time_to_send();
         let mut violations = Vec::new();
         for (number, proxy) in &self.proxies {
             for (id, since) in &self.grace_since {
--- a/src/controller/retention.rs
+++ b/src/controller/retention.rs
@@ -14,7 +14,7 @@
 use super::channel::{Channel, ChannelLimits};
 use super::endpoints::EndpointRegistry;
 use super::routing::{DesiredWeights, RouteTable};
-use super::urgency::{time_to_send, Urgency};
+use super::urgency::Urgency;
 use super::Controller;
 use crate::config::ControllerConfig;
 use crate::host::{EndpointId, Host};
@@ -155,7 +155,7 @@
             removed.extend(bound);
         }
         lines += self.ejection_cost(removed.len(), limits);
-        Some(limits.transmission_time(lines) + time_to_send(&self.config) * DELAY_FRACTION)
+        Some(limits.transmission_time(lines) + self.config.time_to_send() * DELAY_FRACTION)
     }
 
     /// The endpoints of a table whose drain grace is running.
--- a/src/controller/urgency.rs
+++ b/src/controller/urgency.rs
@@ -5,7 +5,7 @@
 
 use super::endpoints::Endpoint;
 use crate::config::ControllerConfig;
-use crate::time::{Moment, Span};
+use crate::time::Moment;
 
 /// How soon a command must be sent. A more urgent value is less than a less urgent one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -21,17 +21,19 @@
 impl Urgency {
     /// The urgency of a command that the proxies must apply within the drain grace after `since`.
     pub(super) fn within_grace(since: Moment, config: &ControllerConfig) -> Self {
-        Urgency::Deadline(since + time_to_send(config))
+        Urgency::Deadline(since + config.time_to_send())
     }
 
-    /// The urgency of removing or ejecting an endpoint that is not ready: it has a deadline only if the drain
-    /// grace applies to the endpoint. Without one it must not use up the messages that those with a deadline
-    /// need.
+    /// The urgency of removing or ejecting an endpoint that is not ready.
     pub(super) fn of_unready(endpoint: &Endpoint, config: &ControllerConfig) -> Self {
-        match endpoint.grace_since(config) {
-            Some(since) => Urgency::within_grace(since, config),
-            None => Urgency::Prompt,
-        }
+        Urgency::of_grace(endpoint.grace_since(config), config)
+    }
+
+    /// The urgency of removing or ejecting an endpoint whose drain grace has been running since then, if it
+    /// applies to the endpoint. Without a grace there is no deadline: the command must not use up the
+    /// messages that those with one need.
+    pub(super) fn of_grace(since: Option<Moment>, config: &ControllerConfig) -> Self {
+        since.map_or(Urgency::Prompt, |since| Urgency::within_grace(since, config))
     }
 
     /// When the command must have been sent, if it has a deadline.
@@ -47,8 +49,3 @@
         self == Urgency::Ordinary
     }
 }
-
-/// The part of the drain grace within which a command must be sent: the rest is for its transit.
-pub(super) fn time_to_send(config: &ControllerConfig) -> Span {
-    config.drain_grace - config.max_transit
-}
