--- a/src/controller/push_limit.rs
+++ b/src/controller/push_limit.rs
@@ -84,7 +84,8 @@
     }
 
     /// Whether a message that could be sent now may be put off until a later time: even if another one goes
-    /// in its place now, the limit permits it then, and one per hold time after it.
+    /// in its place now, the limit permits it then, and one per hold time after it. To be asked only where
+    /// there is a limit.
     pub(super) fn allows_putting_off(&self, now: Moment, until: Moment, sent: &[Moment]) -> bool {
         let mut sent: Vec<Moment> =
             sent.iter().copied().filter(|sent_at| until - *sent_at <= self.window).collect();
